Take the inherited socket, answer operators, drain by one state

Listening socket: bound here or taken from LB_ACCEPT_FD; it is closed, never shut down, as other processes share it. Processes of one gateway see each other by locked files in TMPDIR. Not taken: a file with the process's number and state, which can be stale or half-written, while a lock goes with its process.

Drain: one state machine for standby, active, SIGTERM and readiness. Answers carry the close; idle connections are closed late, as a close that crosses a request turns it back unheard. Not taken: closing idle ones at once, as before. The end after SIGTERM follows the settings: it was 3.4 s, past the kill where deadlines are short.

Second address: the line protocol alone, over an interface. Figures: counters raised where the final answer and the whole write happen; unhealthy is a query of the module's breakers. Not taken: a second count in the server.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -683,6 +683,10 @@
         # Silent while the oldest attempt out is overdue: nothing more until it is answered or times out.
         return not server.out or self.now_us - next(iter(server.out.values())) <= self.silent_us
 
+    def avoided(self) -> int:
+        """How many listed servers get nothing, or trials at the most: a query that changes nothing."""
+        return sum(server.breaker.state is not State.CLOSED for server in self.servers.values())
+
     # Judging servers
 
     def judge(self, request: Request, attempt: Attempt, event: AttemptEnded) -> None:
--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -6,8 +6,6 @@
 import signal
 import sys
 
-END_S = 3.4  # after the signal, whatever is left: the longest a client waits, and the time that new ones come
-
 
 def _end_early(signum: int, frame: object) -> None:
     """A signal before anything is held: there is nothing to finish."""
@@ -33,6 +31,8 @@
 
     import uvloop
 
+    from cloverkeel.admin import Admin
+    from cloverkeel.config import Address
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
     from cloverkeel.reload import Reloader
@@ -47,23 +47,38 @@
         reloader = Reloader(gateway.discovery)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
         server = Server(config, gateway)
+        admin = Admin(server)
+        address: Address | None = config.admin
         try:
+            if address is not None:
+                await admin.start(address)  # until the server is up it says that no clients are taken
+            address = config.listen
             await server.start()
+        except ConfigError as error:
+            log(str(error))
+            return 2
         except OSError as error:
-            log(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}")
+            assert address is not None
+            why = os.strerror(error.errno) if error.errno else str(error)
+            log(f"cannot listen on {address[0]}:{address[1]}: {why}")
+            server.overlap.leave()
             return 1
         if early:
             reloader.ask()
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
+        leaving = loop.create_task(server.leave())
+        await asyncio.sleep(0)  # the way out has begun, and it knows when it ends
         try:
-            async with asyncio.timeout(END_S):
-                await server.drain()
+            async with asyncio.timeout_at(server.drain.end_s):
+                await leaving
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
         counts = gateway.pools.counts
         log(f"ends; connections to hosts: {counts}")
+        admin.close()
+        server.overlap.leave()
         gateway.close()
         return 0
 
--- a/cloverkeel/config.py
+++ b/cloverkeel/config.py
@@ -36,6 +36,10 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: int
+    admin: Address | None  # the operators' own address
+    accept_fd: int | None  # a listening socket that the platform holds
+    folder: str | None  # shared with other processes of this gateway
     known: dict[str, Any]  # in discovery's form
     settings: Settings
     names: Names
@@ -59,10 +63,11 @@
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"{path} is not JSON: {error}") from None
-    return parse(raw)
+    return parse(raw, environment)
 
 
-def parse(raw: object) -> Config:
+def parse(raw: object, environment: Mapping[str, str] | None = None) -> Config:
+    environment = environment or {}
     if not isinstance(raw, dict):
         raise ConfigError("the configuration is not an object")
     settings = raw.get("settings")
@@ -71,6 +76,10 @@
     limits, known = raw.get("limits") or {}, raw.get("known") or {}
     if not isinstance(limits, dict) or not isinstance(known, dict):
         raise ConfigError("limits or known is not an object")
+    admin = raw.get("admin") or environment.get("LB_ADMIN") or None
+    descriptor = environment.get("LB_ACCEPT_FD") or None
+    if descriptor is not None and not (descriptor.isascii() and descriptor.isdigit()):
+        raise ConfigError(f"LB_ACCEPT_FD is no descriptor: {descriptor!r}")
     try:
         return Config(
             name=str(raw.get("name", "")),
@@ -78,6 +87,10 @@
             discovery=parse_address(raw.get("discovery"), "discovery"),
             seed=stable_id(str(raw.get("seed", "")), 8),
             sockets=int(limits.get("sockets", 1024)),
+            memory_mb=int(limits.get("memory_mb", 192)),
+            admin=parse_address(admin, "admin") if admin is not None else None,
+            accept_fd=int(descriptor) if descriptor is not None else None,
+            folder=environment.get("TMPDIR") or None,
             known=known,
             settings=parse_settings(json.dumps(settings)),
             names=_names(settings),
--- /dev/null
+++ b/cloverkeel/drain.py
@@ -0,0 +1,71 @@
+"""Whether this process takes clients, stands by or leaves: the one place that knows.
+
+Readiness, the operators' calls and SIGTERM all ask or move this one state. It knows of no protocol: times
+come in as readings of the caller's clock, and a connection is judged by what any protocol's has.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+LONGEST_S = 3.0  # a longer deadline is counted as this when a process is made to leave
+SPARE_S = 0.7  # what the platform allows on top of that
+MARGIN_S = 0.1  # kept of it for the exit itself
+LEAVE_QUIET_S = 0.5  # after SIGTERM: until then a connection is closed only with word of it in an answer
+LEAVE_ACCEPT_S = 0.7  # after SIGTERM: new connections go on coming for 0.4 s
+STANDBY_QUIET_S = 1.2  # the same after `standby`: what is idle still then is hardly in use
+FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come
+
+
+class Phase(Enum):
+    ACTIVE = "active"
+    STANDBY = "standby"  # until `active`
+    LEAVING = "leaving"  # for good
+
+
+@dataclass(slots=True)
+class Drain:
+    """The state machine: ACTIVE and STANDBY turn into each other and into LEAVING, which is the end."""
+
+    longest_deadline_s: float
+    phase: Phase = Phase.ACTIVE
+    since_s: float = 0.0
+
+    def standby(self, now_s: float) -> bool:
+        """Begin a drain; one that is on goes on as it is. False on the way out."""
+        if self.phase is Phase.ACTIVE:
+            self.phase, self.since_s = Phase.STANDBY, now_s
+        return self.phase is Phase.STANDBY
+
+    def active(self, now_s: float) -> bool:
+        """End the drain, if one is on. False on the way out."""
+        if self.phase is Phase.STANDBY:
+            self.phase, self.since_s = Phase.ACTIVE, now_s
+        return self.phase is Phase.ACTIVE
+
+    def leave(self, now_s: float) -> None:
+        """Begin the way out; a second word of it changes nothing."""
+        if self.phase is not Phase.LEAVING:
+            self.phase, self.since_s = Phase.LEAVING, now_s
+
+    @property
+    def is_on(self) -> bool:
+        """Whether no new client should come, and each answer is the last on its connection."""
+        return self.phase is not Phase.ACTIVE
+
+    def closes_idle(self, now_s: float, opened_s: float, used: bool) -> bool:
+        """Whether a connection with nothing to do is closed by now.
+
+        Not at once: a close that crosses a request makes the client send it again, while a last answer that
+        says so does not. A new connection has time for its first request.
+        """
+        if not self.is_on or (not used and now_s - opened_s < FIRST_REQUEST_S):
+            return False
+        quiet_s = LEAVE_QUIET_S if self.phase is Phase.LEAVING else STANDBY_QUIET_S
+        return now_s - self.since_s >= quiet_s
+
+    @property
+    def end_s(self) -> float:
+        """When a process that leaves has to be gone: what is unanswered then is killed."""
+        return self.since_s + min(self.longest_deadline_s, LONGEST_S) + SPARE_S - MARGIN_S
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -44,6 +44,7 @@
 from cloverkeel.discovery import Discovery, Entry
 from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, Pools, load_of
 from cloverkeel.http1 import Reply, log
+from cloverkeel.metrics import Metrics
 
 
 class Client(Protocol):
@@ -97,6 +98,12 @@
         self.held: dict[str, Held] = {}
         self.closed = False
         self.known = config.known
+        gauges = {
+            "current": lambda: sum(not held.closed for held in self.held.values()),
+            "cluster_size": lambda: len(self.pools.hosts),
+            "cluster_unhealthy": lambda: self.balancer.avoided(),
+        }
+        self.metrics = Metrics([name.decode() for name in config.names.classes], gauges)
 
     def start(self) -> None:
         """Begin with the list from before, and ask for a newer one when the module says so."""
@@ -192,10 +199,12 @@
             case Refuse():
                 held = self.owed(action.request)
                 if held is not None:
+                    self.metrics.deferred.add(held.call.klass)
                     held.call.client.on_refused(held.call, action.retry_after_us)
             case Fail():
                 held = self.owed(action.request)
                 if held is not None:
+                    self.metrics.errored.add(held.call.klass)
                     held.call.client.on_failed(held.call, held.timed_out)
             case Cancel():
                 self.cancel(action)
@@ -242,7 +251,7 @@
             self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
 
         payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
-        attempt = Attempt(host, payload, on_end)
+        attempt = Attempt(host, payload, on_end, lambda: self.metrics.sends.add(held.call.klass))
         held.attempts.append(attempt)
         held.out += 1
         self.pools.send(attempt, wait_us)
@@ -260,6 +269,7 @@
         held.timed_out = outcome is Outcome.TIMEOUT
         if not held.closed and outcome is Outcome.OK and reply is not None:
             self.finish(id_, held)
+            self.metrics.answered.add(held.call.klass)
             held.call.client.on_served(held.call, reply)
         elif held.closed and held.out == 0:
             self.held.pop(id_, None)
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -42,6 +42,7 @@
     host: Host
     payload: bytes
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
+    on_written: Callable[[], None] = lambda: None  # its last byte is with the kernel
     sent_us: int = 0
     latency_us: int = 0
     connection: HostConnection | None = None
@@ -119,6 +120,8 @@
 
     def resume_writing(self) -> None:
         self.flushed = True
+        if self.attempt is not None:
+            self.attempt.on_written()
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -230,6 +233,8 @@
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
         connection.attempt, attempt.connection = attempt, connection
         if connection.write(attempt.payload):
+            if connection.flushed:
+                attempt.on_written()
             return True
         connection.attempt = attempt.connection = None
         connection.close()
--- /dev/null
+++ b/cloverkeel/overlap.py
@@ -0,0 +1,85 @@
+"""Processes of one gateway that run side by side for a while, as they meet in $TMPDIR.
+
+Each holds a lock on a file of its own; the kernel lets go of it however the process ends, so that a file left
+behind says nothing. The file has no content that could be half-written: its name tells whether it serves.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import re
+from pathlib import Path
+
+NAME = re.compile(r"sagetrack-(\d+)\.(starting|serving)")
+
+
+class Overlap:
+    """This process's mark in the folder, and those of the others."""
+
+    def __init__(self, folder: str | None) -> None:
+        self.folder = Path(folder) if folder else None
+        self.descriptor: int | None = None
+        self.path: Path | None = None
+        self.others = 0  # other processes of this gateway that run
+        self.serving = 0  # those of them that serve
+
+    def join(self) -> None:
+        """Be seen by the others: locked first, named after, so that no unlocked mark is ever ours."""
+        if self.folder is None:
+            return
+        fresh = self.folder / f"sagetrack-{os.getpid()}.new"
+        self.descriptor = os.open(fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        fcntl.flock(self.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        self._rename(fresh, "starting")
+        self.look()
+
+    def serve(self) -> None:
+        """Say that this process takes clients."""
+        if self.path is not None:
+            self._rename(self.path, "serving")
+
+    def _rename(self, old: Path, state: str) -> None:
+        self.path = old.with_name(f"sagetrack-{os.getpid()}.{state}")
+        os.replace(old, self.path)
+
+    def look(self) -> None:
+        """Count the others again; marks of processes that have ended are cleared away."""
+        if self.folder is None or self.path is None:
+            return
+        others = serving = 0
+        try:
+            names = os.listdir(self.folder)
+        except OSError:
+            names = []
+        for name in names:
+            mark = NAME.fullmatch(name)
+            if mark is None or name == self.path.name:
+                continue
+            if self._is_held(self.folder / name):
+                others += 1
+                serving += mark[2] == "serving"
+        self.others, self.serving = others, serving
+
+    @staticmethod
+    def _is_held(path: Path) -> bool:
+        try:
+            descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+        except OSError:
+            return False  # renamed or gone meanwhile
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            path.unlink(missing_ok=True)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        finally:
+            os.close(descriptor)
+        return False
+
+    def leave(self) -> None:
+        if self.descriptor is not None and self.path is not None:
+            self.path.unlink(missing_ok=True)
+            os.close(self.descriptor)
+            self.descriptor = self.path = None
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -8,16 +8,16 @@
 from typing import cast
 
 from cloverkeel.config import Config
+from cloverkeel.drain import LEAVE_ACCEPT_S, Drain
 from cloverkeel.gateway import Call, Gateway
 from cloverkeel.http1 import Header, Reply, end_to_end, log
+from cloverkeel.listen import BACKLOG, bind, inherit
+from cloverkeel.overlap import Overlap
 from cloverkeel.requests import Request, RequestError, RequestReader, read_call
 
 READY_PATH = b"/health/ready"
-ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
-FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
-POLL_S = 0.02
+POLL_S = 0.02  # between looks at what is still to end, during a drain
 PIPELINED = 16  # requests read ahead on one connection
-BACKLOG = 1024
 ACCEPT_AT_ONCE = 16  # connections taken in one turn of the loop
 # How long a connection may stay as it is, in seconds
 SILENT_S = 2.0  # accepted, and no byte has come
@@ -51,26 +51,28 @@
         self.reading: Phase = {}
         self.kept: Phase = {}
         self.ending: Phase = {}
-        self.most = int((config.sockets - RESERVE) * (1 - HOSTS_SHARE))
         self.accepting: set[asyncio.Task[object]] = set()
-        self.draining = False
+        longest_us = max(klass.give_up_us for klass in config.settings.classes)
+        self.drain = Drain(longest_us / 1e6)
+        self.overlap = Overlap(config.folder if config.accept_fd is not None else None)
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
+        self.drainer: asyncio.TimerHandle | None = None
         gateway.pools.room = self.make_room
 
     async def start(self) -> None:
-        host, port = self.config.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        self.listener.setblocking(False)
+        descriptor = self.config.accept_fd
+        self.overlap.join()
+        self.listener = bind(self.config.listen) if descriptor is None else inherit(descriptor)
         self.gateway.start()  # nobody is let in before there is a list of hosts to serve from
         loop = asyncio.get_running_loop()
         loop.add_reader(self.listener.fileno(), self.accept)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
+        self.overlap.serve()
 
     @property
     def is_ready(self) -> bool:
-        return not self.draining and self.gateway.can_serve
+        return not self.drain.is_on and self.listener is not None and self.gateway.can_serve
 
     # Connections in
 
@@ -105,6 +107,16 @@
 
     # Descriptors
 
+    @property
+    def sockets(self) -> int:
+        """Descriptors that this process may hold: the limit is for all processes of the gateway together."""
+        return self.config.sockets // (1 + self.overlap.others)
+
+    @property
+    def most(self) -> int:
+        """Connections of clients, so that hosts keep their part."""
+        return int((self.sockets - RESERVE) * (1 - HOSTS_SHARE))
+
     @property
     def clients(self) -> int:
         return len(self.connections) + len(self.accepting)
@@ -113,7 +125,7 @@
         return self.clients < self.most and not self.is_full()
 
     def is_full(self) -> bool:
-        return self.clients + self.gateway.pools.open + RESERVE >= self.config.sockets
+        return self.clients + self.gateway.pools.open + RESERVE >= self.sockets
 
     def make_room(self) -> None:
         """Before a connection to a host is opened: clients that ask nothing yield first.
@@ -138,6 +150,7 @@
     def sweep(self) -> None:
         """Close what has stayed as it is for too long."""
         loop = asyncio.get_running_loop()
+        self.overlap.look()
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
         now_s = loop.time()
         kept_s = KEPT_CROWDED_S if self.clients > self.most / 3 else KEPT_S
@@ -154,40 +167,63 @@
             if now_s >= end_s:
                 connection.abort()
 
-    # The way out
+    # Drains and the way out
+
+    def status(self) -> bool:
+        return self.is_ready
+
+    def stats(self) -> str:
+        return self.gateway.metrics.render()
+
+    def standby(self) -> bool:
+        """Begin a drain, which lasts until `active`."""
+        begun = self.drain.standby(asyncio.get_running_loop().time())
+        if begun and self.drainer is None:
+            self.close_idle()
+        return begun
+
+    def active(self) -> bool:
+        """End a drain."""
+        return self.drain.active(asyncio.get_running_loop().time())
 
-    async def drain(self) -> None:
+    async def leave(self) -> None:
         """The way out: every request that was taken, or waits to be accepted, is answered first."""
-        self.draining = True
         loop = asyncio.get_running_loop()
-        stop_accepting = loop.time() + ACCEPT_ON_S
-        while loop.time() < stop_accepting:
-            self.close_idle()
-            await asyncio.sleep(POLL_S)
-        self.stop_listening()
-        while self.connections or self.accepting:
-            self.close_idle()
+        self.drain.leave(loop.time())
+        self.overlap.look()
+        if self.overlap.serving:
+            self.stop_listening()  # another process takes what waits and what comes
+        self.close_idle()
+        while self.listener is not None or self.connections or self.accepting:
+            if self.listener is not None and loop.time() >= self.drain.since_s + LEAVE_ACCEPT_S:
+                self.stop_listening()
             await asyncio.sleep(POLL_S)
 
     def stop_listening(self) -> None:
+        """Close our descriptor; a shared socket goes on, and what waits there is another's if one serves."""
         if self.listener is not None:
-            self.accept(BACKLOG)
+            if not self.overlap.serving:
+                self.accept(BACKLOG)
             asyncio.get_running_loop().remove_reader(self.listener.fileno())
             self.listener.close()
             self.listener = None
 
     def close_idle(self) -> None:
-        now_s = asyncio.get_running_loop().time()
+        """During a drain: close what has nothing to do, as soon as its time has come."""
+        loop = asyncio.get_running_loop()
+        self.drainer = loop.call_later(POLL_S, self.close_idle) if self.drain.is_on else None
+        now_s = loop.time()
         for connection in list(self.connections):
-            has_had_time = connection.served or now_s - connection.opened_s >= FIRST_REQUEST_S
-            if has_had_time and connection.is_idle():
+            if self.drain.closes_idle(now_s, connection.opened_s, connection.served) and connection.is_idle():
                 connection.close()
 
     def close(self) -> None:
         """Give up everything at once."""
         self.stop_listening()
-        if self.sweeper is not None:
-            self.sweeper.cancel()
+        for timer in (self.sweeper, self.drainer):
+            if timer is not None:
+                timer.cancel()
+        self.overlap.leave()
         for connection in list(self.connections):
             connection.abort()
 
@@ -360,7 +396,7 @@
         more = (
             bool(self.reader.done) or self.reader.has_begun
         )  # what was read is answered, on the way out too
-        last = not request.keep_alive or (self.server.draining and not more)
+        last = not request.keep_alive or (self.server.drain.is_on and not more)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
         lines += [b"%s: %s" % pair for pair in headers]
         lines += [b"Content-Length: %d" % len(body)]
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,220 @@
+"""The second address: its calls, its figures, and callers that mean no good."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from caperdrift.interface import Outcome
+from cloverkeel import admin as admin_module
+from cloverkeel.admin import CALLERS, LINE_LIMIT, Admin
+from cloverkeel.metrics import Metrics
+from tests.helpers import Driver, sends, trip
+from tests.sockets import (
+    Running,
+    answers,
+    configuration,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+from tests.test_gateway_process import READY, ask, connect, free_port, program, start
+
+
+@asynccontextmanager
+async def second_address(run: Running) -> AsyncIterator[int]:
+    admin = Admin(run.server)
+    await admin.start(("127.0.0.1", 0))
+    assert admin.server is not None
+    try:
+        yield admin.server.sockets[0].getsockname()[1]
+    finally:
+        admin.close()
+
+
+async def call(port: int, data: bytes, eof: bool = False) -> bytes:
+    """Everything that is answered, to the end of the connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    if eof:
+        writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def figures(answer: bytes) -> dict[str, int]:
+    first, *lines, last = answer.decode().splitlines()
+    assert first.startswith("SUCCESS") and last == "EOT"
+    return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
+
+
+@pytest.mark.parametrize("ending", [b"\n", b"\r\n"])
+@on_loop
+async def test_each_call_is_answered_on_a_connection_of_its_own(ending: bytes) -> None:
+    async with peer() as host, running(configuration(host)) as run, second_address(run) as port:
+        for line, word, ready in (
+            (b"status", b"SUCCESS", 200),
+            (b"standby", b"SUCCESS", 503),
+            (b"standby", b"SUCCESS", 503),
+            (b"status", b"FAILURE", 503),
+            (b"active", b"SUCCESS", 200),
+            (b"active", b"SUCCESS", 200),
+            (b"status", b"SUCCESS", 200),
+        ):
+            answer = await call(port, line + ending)
+            assert answer.startswith(word) and answer.count(b"\n") == 1
+            assert (await run.ask(READY)).status == ready
+        run.server.drain.leave(0.0)
+        for line in (b"status", b"standby", b"active"):
+            assert (await call(port, line + ending)).startswith(b"FAILURE")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"\n", b"statu\n", b"status now\n", b"STATUS\n", b"\xff\xfe\n", b"\0\n", b"x" * (LINE_LIMIT + 1),
+     b"stats" + b" " * 100_000 + b"\n"],
+)  # fmt: skip
+@on_loop
+async def test_what_is_no_call_gets_failure(data: bytes) -> None:
+    async with running(configuration("127.0.0.1:1")) as run, second_address(run) as port:
+        answer = await call(port, data)
+        assert answer.startswith(b"FAILURE") and answer.count(b"\n") == 1
+
+
+@on_loop
+async def test_a_line_may_come_in_pieces_or_end_with_what_the_caller_says() -> None:
+    async with peer() as host, running(configuration(host)) as run, second_address(run) as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for byte in b"status":
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        writer.write(b"\nstandby\n")  # a connection carries one line: this is none
+        assert (await reader.read()).startswith(b"SUCCESS")
+        writer.close()
+        assert (await call(port, b"status", eof=True)).startswith(b"SUCCESS")
+        assert await call(port, b"", eof=True) == b""
+
+
+@on_loop
+async def test_silent_callers_keep_nobody_out_and_are_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with peer() as host, running(configuration(host)) as run, second_address(run) as port:
+        silent_ones = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3 * CALLERS)]
+        assert (await call(port, b"status\n")).startswith(b"SUCCESS")
+        ended = 0
+        for reader, _ in silent_ones[: 2 * CALLERS]:
+            try:
+                ended += await reader.read() == b""
+            except ConnectionError:
+                ended += 1
+        assert ended == 2 * CALLERS  # the oldest have yielded
+        monkeypatch.setattr(admin_module, "CALL_S", 0.05)
+        assert (await call(port, b"stat")).startswith(b"FAILURE")
+        for _, writer in silent_ones:
+            writer.close()
+
+
+@on_loop
+async def test_the_figures_are_true() -> None:
+    async with peer() as host, running(configuration(host)) as run, second_address(run) as port:
+        for _ in range(3):
+            assert (await run.ask(request())).status == 200
+        host.script = answers(reply(500))
+        assert (await run.ask(request("transfer"))).status == 502
+        host.script = answers(reply(503, b"", "X-Rejected: 1"))
+        assert (await run.ask(request("hold"))).status == 503
+        host.script = silent
+        seen, client = len(host.seen), await run.connect()
+        client.send(request("transfer"))
+        await until(lambda: len(host.seen) > seen)
+        told = figures(await call(port, b"stats\n"))
+        assert told == {
+            'svc_answered_total{group="search"}': 3, 'svc_answered_total{group="hold"}': 0,
+            'svc_answered_total{group="transfer"}': 0, 'svc_deferred_total{group="search"}': 0,
+            'svc_deferred_total{group="hold"}': 1, 'svc_deferred_total{group="transfer"}': 0,
+            'svc_errored_total{group="search"}': 0, 'svc_errored_total{group="hold"}': 0,
+            'svc_errored_total{group="transfer"}': 1, 'svc_sends_total{group="search"}': 3,
+            'svc_sends_total{group="hold"}': 1, 'svc_sends_total{group="transfer"}': 2,
+            "svc_current": 1, "svc_cluster_size": 1, "svc_cluster_unhealthy": 0,
+        }  # fmt: skip
+        host.seen[-1].answer(reply())
+        assert (await client.answer()).status == 200
+        assert figures(await call(port, b"stats\n"))["svc_current"] == 0
+        client.close()
+
+
+@on_loop
+async def test_an_attempt_that_is_never_written_whole_is_no_send() -> None:
+    async with running(configuration("127.0.0.1:1")) as run:
+        assert (await run.ask(request())).status == 503
+        assert run.gateway.metrics.sends.by_class == [0, 0, 0]
+        assert run.gateway.metrics.deferred.by_class == [1, 0, 0]
+        assert run.gateway.balancer.avoided() == 1
+
+
+def test_what_is_avoided_is_the_breakers_word_and_asking_changes_nothing() -> None:
+    driver = Driver()
+    balancer = driver.balancer
+    assert balancer.avoided() == 0
+    breaker = balancer.servers[1].breaker
+    trip(breaker, driver.now_us)
+    until_us, state = breaker.open_until_us, breaker.state
+    driver.now_us = until_us + 1
+    assert balancer.avoided() == 1  # until a trial has closed it
+    assert breaker.state is state and breaker.episode == 0
+    for _ in range(100):
+        name, actions = driver.arrive()
+        for send in sends(actions):
+            driver.end(name, send.server, Outcome.OK)
+    assert balancer.avoided() == 0
+
+
+def test_a_label_cannot_break_its_line() -> None:
+    text = Metrics(['a"b\n\\'], {}).render()
+    assert text.splitlines()[0] == 'svc_answered_total{group="a\\"b\\n\\\\"} 0'
+
+
+@on_loop
+async def test_the_program_listens_there_and_a_drain_ends(tmp_path: Path) -> None:
+    admin = free_port()
+    async with peer() as host:
+        config = configuration(host) | {"admin": f"127.0.0.1:{admin}"}
+        async with program(tmp_path, config) as (process, port):
+            kept = await connect(port)
+            assert (await kept.ask(READY)).status == 200
+            assert (await call(admin, b"standby\n")).startswith(b"SUCCESS")
+            # A request on a kept connection, and one on a late one, are served and told of the end.
+            late = await connect(port)
+            for client in (kept, late):
+                answer = await client.ask(request())
+                assert answer.status == 200 and answer.headers["connection"] == "close"
+                client.close()
+            idle = await connect(port)
+            assert await idle.reader.read() == b""
+            idle.close()
+            assert (await call(admin, b"active\n")).startswith(b"SUCCESS")
+            assert await ask(port, READY) == 200
+            assert figures(await call(admin, b"stats\n"))['svc_answered_total{group="search"}'] == 2
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+
+@on_loop
+async def test_a_second_address_in_use_is_one_line(tmp_path: Path) -> None:
+    async with peer() as host:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(host) | {"listen": f"127.0.0.1:{free_port()}"}))
+        process = await start({"LB_CONFIG": str(file), "LB_ADMIN": host.address})
+        _, errors = await process.communicate()
+        assert process.returncode == 1 and errors.count(b"\n") == 1
+        assert errors.startswith(f"cloverkeel: cannot listen on {host.address}".encode())
