--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -41,6 +41,7 @@
 UNHINDERED_DOWN = 0.05  # share of the way that the unhindered latency falls to a shorter one
 UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
+CROWD = 3.0  # requests that one server holds at the most, by all proxies: more of them slow it down for long
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
 HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
@@ -657,6 +658,8 @@
 
     def draw_weight(self, server: Server, request: Request) -> float:
         """A server's weight in the draw; 0 for one that is not eligible."""
+        if len(server.out) >= max(1, math.ceil(CROWD / self.settings.proxies)):
+            return 0.0
         share = 1.0
         if self.now_us < server.warm_at_us:
             if not self.cold_room(server, request):
