Let requests wait for a moment for room, and tell refused clients when to come back

What waits is sent dearest first; the wait is a quarter of the slack under the aim, so that no refusal is held back to keep a client quiet.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -42,6 +42,8 @@
 UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 CROWD = 3.0  # requests that one server holds at the most, by all proxies: more of them slow it down for long
+WAIT = 0.25  # share of the slack under the aim that a request may wait here for one of them to have room
+COME_BACK = 0.25  # of the class's aim: when a client that was refused may ask again
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
 HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
@@ -218,6 +220,7 @@
     out: int = 0
     done: bool = False
     streaming: bool = False
+    wait_token: int = -1  # the timer that ends its wait
     rests_until_us: int = 0  # in order: its key rests, as an attempt may still be running
 
 
@@ -246,6 +249,7 @@
         self.requests: dict[str, Request] = {}
         self.timers: dict[int, Request] = {}
         self.lines: dict[int, deque[Request]] = {}  # in order: requests of a key, its turn first
+        self.waiting: dict[Request, None] = {}  # for room at a server, the first come first
         self.next_token = 1
         self.retry_tokens = RETRY_BURST
         self.list_calls_failed = 0
@@ -295,7 +299,9 @@
             return
         request = self.admit(event)
         self.requests[request.id] = request
-        if self.is_shed(request) or not (self.waits_its_turn(request) or self.try_send(request)):
+        if self.is_shed(request) or not (
+            self.waits_its_turn(request) or self.try_send(request) or self.waits_for_room(request)
+        ):
             self.answer_unserved(request)
 
     def admit(self, event: RequestArrived) -> Request:
@@ -349,6 +355,34 @@
             self.set_timer(last_us, request)
         return line[0] is not request
 
+    def waits_for_room(self, request: Request) -> bool:
+        """Let a request wait for a moment where servers could take it but for what they hold already.
+
+        Guards against refusing in a short burst. It is no way to hold back a refusal: the wait is a small
+        part of the time, and where no server could take the request it is not begun.
+        """
+        if request.done or self.settings.classes[request.klass].in_order:
+            return False
+        if not any(self.is_eligible(server, request.klass) for server in self.ranked):
+            return False
+        slack_us = request.aim_us - self.now_us - self.unhindered[request.klass] * request.size
+        wait_us = int(WAIT * min(slack_us, request.deadline_us - self.now_us))
+        if wait_us <= 0:
+            return False
+        self.waiting[request] = None
+        request.wait_token = self.next_token
+        self.set_timer(self.now_us + wait_us, request)
+        return True
+
+    def serve_waiting(self) -> None:
+        """Send what waits while there is room, what gains the most for its work first."""
+        while self.waiting:
+            worths = self.worths()
+            request = max(self.waiting, key=lambda r: worths[r.klass] * (1.0 - max(0.0, r.excess)))
+            if not self.try_send(request):
+                return
+            del self.waiting[request]
+
     def free(self, request: Request) -> None:
         """Forget a request that is over; in order, the next of its key has its turn once the key rested."""
         self.requests.pop(request.id, None)
@@ -452,21 +486,25 @@
         ran = any(a.may_have_run for a in request.attempts)
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
-            self.actions.append(Refuse(request.id, self.retry_after_us()))
+            self.actions.append(Refuse(request.id, self.retry_after_us(request)))
         else:
             self.actions.append(Fail(request.id))
         self.finish(request)
 
-    def retry_after_us(self) -> int:
-        """The shortest cooldown left where every server is open, else none."""
+    def retry_after_us(self, request: Request) -> int:
+        """The shortest cooldown left where every server is open, else the time in which a crowd thins out.
+
+        Guards against clients that ask again at once, while what turned them away is still there.
+        """
         breakers = [s.breaker for s in self.servers.values()]
-        if not breakers or any(b.state is not State.OPEN for b in breakers):
-            return 0
-        wait_us = min(b.open_until_us for b in breakers) - self.now_us
+        wait_us = int(COME_BACK * self.settings.classes[request.klass].aim_us)
+        if breakers and all(b.state is State.OPEN for b in breakers):
+            wait_us = min(b.open_until_us for b in breakers) - self.now_us
         return max(0, min(wait_us, self.settings.max_retry_after_us))
 
     def finish(self, request: Request) -> None:
         request.done = True
+        self.waiting.pop(request, None)
         if request.out == 0:
             self.free(request)
             return
@@ -500,6 +538,9 @@
         request = self.timers.pop(token, None)
         if token == LIST_TOKEN and not self.settings.list_is_pushed:
             self.actions.append(WatchList())
+        elif request is not None and token == request.wait_token:
+            if request in self.waiting:
+                self.answer_unserved(request)
         elif request is not None and request.done and request.out == 0:
             self.free(request)
         elif request is not None and request.out == 0:
@@ -573,6 +614,7 @@
             self.finish(request)
         elif request.out == 0:
             self.try_again(request, event.outcome)
+        self.serve_waiting()
 
     def try_again(self, request: Request, outcome: Outcome) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
@@ -816,6 +858,7 @@
         for entry in event.servers:
             self.list_server(entry)
         self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
+        self.serve_waiting()
 
     def list_server(self, entry: ListedServer) -> None:
         known = self.servers.get(entry.server)
