--- a/cloverkeel/http1.py
+++ b/cloverkeel/http1.py
@@ -32,6 +32,11 @@
     return [(name, value) for name, value in kept if name.lower() not in named]
 
 
+def trimmed(value: bytes) -> bytes:
+    """A header's value without the white space round it, which belongs to no value; the parser leaves it."""
+    return value.strip(b" \t")
+
+
 def header(headers: Iterable[Header], wanted: bytes) -> bytes | None:
     """The first header of that name (lower case)."""
     return next((value for name, value in headers if name.lower() == wanted), None)
@@ -137,7 +142,7 @@
         self._size += len(name) + len(value)
         if self._size > HEAD_LIMIT:
             raise ReplyError("the head is too long")
-        self._headers.append((name, value))
+        self._headers.append((name, trimmed(value)))
 
     def on_headers_complete(self) -> None:
         self._size = 0
--- a/cloverkeel/requests.py
+++ b/cloverkeel/requests.py
@@ -11,7 +11,7 @@
 from cloverkeel.bodies import LARGE_LIMIT, Allowance, Upload
 from cloverkeel.config import Config, stable_id
 from cloverkeel.gateway import Call, Client
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, end_to_end, header
+from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, end_to_end, header, trimmed
 
 ID_LIMIT = 128
 SLICE = 4096  # bytes parsed before it is looked at how many requests they held
@@ -141,7 +141,7 @@
         assert self.reading is not None
         if self.in_body:
             return  # a trailer: it may be left out, and must not stand for a header that was checked
-        self.reading.headers.append((name, value))
+        self.reading.headers.append((name, trimmed(value)))
 
     def on_headers_complete(self) -> None:
         request = self.reading
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -45,6 +45,18 @@
         assert told[1].key is None and told[1].patience_us == 20_000_000 and not told[1].is_retry
 
 
+@on_loop
+async def test_white_space_round_a_value_is_no_part_of_it() -> None:
+    answer = b"HTTP/1.1 200 OK \r\nContent-Length: \t4 \t\r\nConnection:  keep-alive  \r\n\r\nfine"
+    async with peer(answers(answer)) as host, running(configuration(host)) as run:
+        for before, after in ((b"", b" \t"), (b"\t ", b"")):
+            first, *lines = request("hold", b"slip", expect="100-continue").split(b"\r\n")[:-2]
+            lines = [line.replace(b": ", b":" + before) + after for line in lines]
+            answer_to_it = await run.ask(b"\r\n".join([first, *lines]) + b"\r\n\r\nslip")
+            assert (answer_to_it.status, answer_to_it.body) == (200, b"fine")
+        assert [e.message.body for e in host.seen] == [b"slip"] * 2
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
