--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -57,9 +57,9 @@
 HOPELESS = 0.5  # of the unhindered latency: a try that is given less is not sent
 AIM_SHARE = 0.98  # of the time to the aim that is waited for an answer that is worth nothing later
 # Shedding
-TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
+TOLERATED = 0.5  # share of the slack under the tightest aim that an answer may have waited
 CHEAP = 0.5  # of the mean worth for work: what is worth less yields to waiting, the rest only to lateness
-INFLATED = 2.75  # times the unhindered latency: answers of crowded servers, whatever the aim
+INFLATED = 4.0  # times the unhindered latency: answers of crowded servers, whatever the aim
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer at the usual pace
 SHED_LEAST, SHED_PACE = 0.02, 4.0  # where many come: at the least, and for each second since the last
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
@@ -892,7 +892,8 @@
             self.servers = {number: s for number, s in self.servers.items() if number in named}
         for entry in event.servers:
             self.list_server(entry)
-        self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
+        ready = [s for s in self.servers.values() if s.entry.status is ServerStatus.READY]
+        self.ranked = sorted(ready, key=attrgetter("rank"))
         self.serve_waiting()
 
     def list_server(self, entry: ListedServer) -> None:
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from caperdrift.balance import COME_BACK, CROWD, WAIT
-from caperdrift.interface import Outcome, Refuse, RequestClass
+from caperdrift.balance import COME_BACK, CROWD, SUBSET, WAIT
+from caperdrift.interface import ListedServer, Outcome, Refuse, RequestClass, ServerStatus
 from tests.helpers import SAFE, SETTINGS, Driver, finals, sends, timers
 
 BOUND = int(CROWD)  # with one proxy
@@ -101,3 +101,20 @@
         driver.arrive(0, key=key)
     name, actions = driver.arrive(0, key=99)
     assert [final.request for final in finals(actions)] == [name]
+
+
+def test_servers_that_drain_take_no_place_from_new_ones() -> None:
+    """After a release most are cold: if drained ones kept their places, few could be used."""
+    driver = Driver(replace(SETTINGS, proxies=14, warm_after_us=60_000_000, start_capacity=0.9), servers=0)
+    started = driver.now_us
+    old = [ListedServer(n, ServerStatus.DRAINING) for n in range(20)]
+    new = [ListedServer(n, started_us=started) for n in range(20, 40)]
+    driver.list_servers(*old, *new)
+    for _ in range(400):
+        driver.now_us += 20_000
+        name, actions = driver.arrive()
+        for send in sends(actions):
+            assert send.server >= 20
+            driver.end(name, send.server)
+    used = [s for s in driver.balancer.ranked if s.good_at_us]
+    assert len(used) >= SUBSET
