Hand on the list and share cold budgets at an upgrade; let the unfinished yield

A process keeps the list of address servers as it stands in TMPDIR, written whole under another name first, and a new one begins with it if it is newer, readable and of the same discovery. Two processes of a gateway plan with half of a cold server's budget each (Sharing). Not taken: a socket between the processes, one more thing to fail.

Descriptors: who had the time for a head goes first, then the silent and the kept, then who still writes; until somebody can yield new connections wait unaccepted, where they were closed at once. What had reached the machine is never closed unread.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -17,7 +17,7 @@
 from caperdrift.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Effect, Event, Fail, ListedServer, ListKind,
     Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer,
-    Settings, StreamStarted, TimerFired, WatchList,
+    Settings, Sharing, StreamStarted, TimerFired, WatchList,
 )
 
 # The breaker
@@ -256,6 +256,7 @@
         self.next_token = 1
         self.retry_tokens = RETRY_BURST
         self.list_calls_failed = 0
+        self.processes = 1  # that are this proxy together
         classes = settings.classes
         self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
@@ -290,6 +291,8 @@
             self.on_stream(event)
         elif isinstance(event, AttemptWritten):
             self.on_written(event)
+        elif isinstance(event, Sharing):
+            self.processes = max(1, event.processes)
         return self.actions
 
     # Requests
@@ -857,7 +860,7 @@
         The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
         """
         users = max(1.0, self.settings.proxies * min(1.0, self.reach / max(1, len(self.ranked))))
-        return FALL_MARGIN * self.settings.fall_multiple * self.settings.fall_us / users
+        return FALL_MARGIN * self.settings.fall_multiple * self.settings.fall_us / users / self.processes
 
     def cold_cost_us(self, request: Request) -> float:
         """Work of a request: above the fastest replies, below the usual ones, which have waited too."""
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -287,6 +287,13 @@
     payload: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class Sharing:
+    """So many processes are this proxy for a while, as at an upgrade: what it may do, they may together."""
+
+    processes: int
+
+
 Event = (
     ServerList
     | RequestArrived
@@ -297,6 +304,7 @@
     | TimerFired
     | Probed
     | PeerMessage
+    | Sharing
 )
 
 
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -144,12 +144,29 @@
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
         self.address = address
+        self.raw: dict[str, dict[str, Any]] = {}  # the list as it stands, by name
+        self.on_news: Callable[[Address, dict[str, Any]], None] = lambda address, known: None
+
+    def note(self, raw: dict[str, Any], whole: bool) -> None:
+        """Keep the list as it stands, in discovery's form, and hand it on."""
+        if whole:
+            self.raw = {}
+        for item in raw.get("endpoints", []):
+            if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+                continue
+            if item.get("status") == "DELETED":
+                self.raw.pop(item["name"], None)
+            else:
+                self.raw[item["name"]] = item
+        known = {"index": self.index, "snapshot": True, "endpoints": list(self.raw.values())}
+        self.on_news(self.address, known)
 
     def take_known(self, raw: dict[str, Any]) -> None:
         """Begin with the list that this gateway had before it was restarted."""
         entries: list[Entry] = []
         try:
             self.index, _, entries = parse_list(raw, self.names)
+            self.note(raw, True)
         except (KeyError, TypeError, ValueError) as error:
             if raw:
                 log(f"the list known from before cannot be used: {error!r}")
@@ -233,8 +250,12 @@
             raise CallError(f"answered {reply.status}")
         if not reply.keep_alive:
             call.close()
-        index, whole, entries = parse_list(json.loads(reply.body), self.names)
+        raw = json.loads(reply.body)
+        index, whole, entries = parse_list(raw, self.names)
+        changed = whole or index != self.index
         self.index, self.failures = index, 0
+        if changed:
+            self.note(raw, whole)
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
     async def _fetch(self) -> None:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -36,6 +36,7 @@
     ServerList,
     ServerStatus,
     SetTimer,
+    Sharing,
     StreamStarted,
     TimerFired,
     WatchList,
@@ -139,6 +140,10 @@
         """Begin with the list from before, and ask for a newer one when the module says so."""
         self.discovery.take_known(self.known)
 
+    def share(self, processes: int) -> None:
+        """So many processes are this gateway now."""
+        self.post(lambda: Sharing(processes))
+
     @property
     def can_serve(self) -> bool:
         """Whether there is any host to send to."""
--- a/cloverkeel/overlap.py
+++ b/cloverkeel/overlap.py
@@ -7,11 +7,18 @@
 from __future__ import annotations
 
 import fcntl
+import json
 import os
 import re
 from pathlib import Path
+from typing import Any
+
+from cloverkeel.config import Address
+from cloverkeel.http1 import log
 
 NAME = re.compile(r"sagetrack-(\d+)\.(starting|serving)")
+LIST = "sagetrack-list.json"  # the address servers as a process last heard of them
+LIST_LIMIT = 1024 * 1024  # bytes: files count as memory
 
 
 class Overlap:
@@ -78,6 +85,38 @@
             os.close(descriptor)
         return False
 
+    # What a process has heard of the address servers, for the next one
+
+    def keep_list(self, discovery: Address, known: dict[str, Any]) -> None:
+        """Write it whole under another name first: nobody finds half of it."""
+        if self.folder is None:
+            return
+        data = json.dumps({"discovery": list(discovery), "known": known}).encode()
+        if len(data) > LIST_LIMIT:
+            return
+        fresh = self.folder / f"{LIST}.{os.getpid()}"
+        try:
+            fresh.write_bytes(data)
+            os.replace(fresh, self.folder / LIST)
+        except OSError as error:
+            log(f"the list of address servers is not handed on: {error.strerror}")
+
+    def newer_list(self, discovery: Address, known: dict[str, Any]) -> dict[str, Any]:
+        """That list, if it can be read, is from the same service and newer than what the platform knew."""
+        if self.folder is None:
+            return known
+        try:
+            with open(self.folder / LIST, "rb") as file:
+                kept = json.loads(file.read(LIST_LIMIT + 1))
+            newer: dict[str, Any] = kept["known"]
+            same = kept["discovery"] == list(discovery)
+            return newer if same and int(newer["index"]) > int(known.get("index", -1)) else known
+        except FileNotFoundError:
+            return known
+        except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
+            log(f"a list of address servers that was left behind cannot be used: {error!r}")
+            return known
+
     def leave(self) -> None:
         if self.descriptor is not None and self.path is not None:
             self.path.unlink(missing_ok=True)
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -20,6 +20,7 @@
 POLL_S = 0.02  # between looks at what is still to end, during a drain
 PIPELINED = 16  # requests read ahead on one connection
 ACCEPT_AT_ONCE = 16  # connections taken in one turn of the loop
+ACCEPT_AGAIN_S = 0.01  # where there is no room, and nobody can yield
 # How long a connection may stay as it is, in seconds
 SILENT_S = 2.0  # accepted, and no byte has come
 READING_S = 2.4  # the head of a request has begun to come; for the first one since it was accepted
@@ -70,6 +71,9 @@
     async def start(self) -> None:
         descriptor = self.config.accept_fd
         self.overlap.join()
+        self.gateway.share(1 + self.overlap.others)
+        self.gateway.known = self.overlap.newer_list(self.config.discovery, self.gateway.known)
+        self.gateway.discovery.on_news = self.overlap.keep_list
         self.listener = bind(self.config.listen) if descriptor is None else inherit(descriptor)
         self.gateway.start()  # nobody is let in before there is a list of hosts to serve from
         loop = asyncio.get_running_loop()
@@ -89,6 +93,11 @@
         for _ in range(most):
             if self.listener is None:
                 return
+            if not self.prepare_room():
+                # What has been accepted is read first: some of it will be able to yield, or be answered.
+                loop.remove_reader(self.listener.fileno())
+                loop.call_later(ACCEPT_AGAIN_S, self.accept_on)
+                return
             try:
                 accepted, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionError):
@@ -97,14 +106,20 @@
                 log(f"cannot accept: {error.strerror}")
                 self.give_up_client(0.0)
                 return
-            made_room = self.has_room() or self.give_up_client(HURRIED_S)
-            if not made_room and self.is_full() and not self.give_up_client(0.0):
-                accepted.close()  # it is told at once
-                continue
             task: asyncio.Task[object] = loop.create_task(self.take(accepted))
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
 
+    def accept_on(self) -> None:
+        if self.listener is not None:
+            asyncio.get_running_loop().add_reader(self.listener.fileno(), self.accept)
+
+    def prepare_room(self) -> bool:
+        """Have a descriptor for one more client, if need be by giving up another."""
+        if self.has_room() or self.give_up_client(HURRIED_S):
+            return True
+        return not self.is_full() or self.give_up_client(0.0)
+
     async def take(self, accepted: socket.socket) -> None:
         try:
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -143,13 +158,20 @@
             self.gateway.pools.give_up_idle()
 
     def give_up_client(self, age_s: float) -> bool:
-        """Close a connection on which nothing is asked: the oldest that never spoke, or that was kept."""
+        """Close a connection on which nothing is asked, or not yet all of it: the oldest such.
+
+        Who had 2 s for a head goes first, then who never spoke or was kept; who is still writing goes last.
+        """
         now_s = asyncio.get_running_loop().time()
-        for phase in (self.silent, self.kept):
+        overdue_s = max(age_s, SILENT_S)
+        for phase, least_s in (
+            (self.silent, overdue_s), (self.reading, overdue_s), (self.bodies, overdue_s),
+            (self.silent, age_s), (self.kept, age_s), (self.reading, age_s), (self.bodies, age_s),
+        ):  # fmt: skip
             for connection, since_s in phase.items():
-                if now_s - since_s < age_s:
+                if now_s - since_s < least_s:
                     break
-                if connection.is_idle():
+                if connection.may_yield():
                     connection.close()
                     return True
         return False
@@ -157,7 +179,10 @@
     def sweep(self) -> None:
         """Close what has stayed as it is for too long."""
         loop = asyncio.get_running_loop()
+        others = self.overlap.others
         self.overlap.look()
+        if self.overlap.others != others:
+            self.gateway.share(1 + self.overlap.others)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
         now_s = loop.time()
         kept_s = KEPT_CROWDED_S if self.clients > self.most / 3 else KEPT_S
@@ -324,6 +349,13 @@
             return False
         return not self.poll.poll(0)
 
+    def may_yield(self) -> bool:
+        """Whether it may be closed to make room: nothing on it was taken."""
+        if self.phase is self.server.silent or self.phase is self.server.kept:
+            return self.is_idle()
+        # What has reached this machine may be the end of a request.
+        return self.current is None and not self.reader.done and not self.deaf and not self.poll.poll(0)
+
     def close(self) -> None:
         """Close once what was written is with the client, and within bounds."""
         self.deaf = True
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -162,3 +162,42 @@
         assert int(host.seen[0].message.headers["x-budget-ms"]) <= 20_000
         assert (await run.ask(request("transfer", budget_ms=0))).status in (502, 503, 504)
         client.close()
+
+
+@on_loop
+async def test_who_never_finishes_a_request_yields_to_who_does(tmp_path: Path) -> None:
+    """The real program at 80 descriptors, and 300 connections that begin a request and never end it."""
+    async with peer() as host:
+        config = configuration(host) | {"limits": {"sockets": 80}}
+        async with program(tmp_path, config) as (process, port):
+            crowd = []
+            for _ in range(3):
+                crowd += await asyncio.gather(*(connect(port) for _ in range(100)))
+                for one in crowd[-100:]:
+                    one.send(TRANSFER)
+                client = await connect(port)
+                assert (await client.ask(request("transfer"))).status == 200
+                client.close()
+            count = len(list(Path(f"/proc/{process.pid}/fd").iterdir()))
+            assert count <= 80
+            for one in crowd:
+                one.close()
+
+
+@on_loop
+async def test_who_has_had_the_time_for_a_head_yields_first() -> None:
+    ready = b"GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
+    async with peer() as host, running(configuration(host)) as run:
+        server = run.server
+        overdue, kept, writing = [await run.connect() for _ in range(3)]
+        overdue.send(TRANSFER)
+        assert (await kept.ask(ready)).status == 200
+        writing.send(TRANSFER)
+        await until(lambda: len(server.reading) == 2 and len(server.kept) == 1)
+        first = next(iter(server.reading))
+        server.reading[first] -= server_module.SILENT_S
+        for client in (overdue, kept, writing):
+            assert server.give_up_client(0.0)
+            assert await client.reader.read() == b""
+            client.close()
+        assert not server.give_up_client(0.0)
--- a/tests/test_gateway_upgrade.py
+++ b/tests/test_gateway_upgrade.py
@@ -12,8 +12,20 @@
 
 import pytest
 
-from cloverkeel.overlap import Overlap
-from tests.sockets import configuration, on_loop, peer, reply, request, silent, until
+from cloverkeel.overlap import LIST, Overlap
+from tests.sockets import (
+    configuration,
+    endpoint,
+    hosts_list,
+    list_reply,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
 from tests.test_gateway_process import READY, ROOT, ask, connect
 
 
@@ -103,10 +115,86 @@
 
 @on_loop
 async def test_descriptors_are_shared_by_the_processes() -> None:
-    from tests.sockets import running
-
     async with running(configuration("127.0.0.1:1")) as run:
         assert run.server.sockets == 1024
         run.server.overlap.others = 1
         assert run.server.sockets == 512
         await asyncio.sleep(0)  # the watch that the start has begun runs once
+
+
+DISCOVERY = ("127.0.0.1", 8500)
+NEWS = {"discovery": list(DISCOVERY), "known": {"index": 9, "snapshot": True, "endpoints": []}}
+
+
+@pytest.mark.parametrize(
+    "left",
+    [
+        b"", b"{", b"[]", b"null", b"\xff", b'{"known":{"index":9}}',
+        b'{"discovery":["127.0.0.1",8500],"known":[]}',
+        json.dumps(NEWS).encode()[:-5],
+        json.dumps(NEWS | {"discovery": ["127.0.0.1", 8501]}).encode(),
+        json.dumps(NEWS | {"known": {"index": 7}}).encode(),
+        json.dumps(NEWS | {"known": {"index": "new"}}).encode(),
+    ],
+)  # fmt: skip
+def test_a_list_that_is_stale_foreign_or_half_written_is_not_used(tmp_path: Path, left: bytes) -> None:
+    (tmp_path / LIST).write_bytes(left)
+    known = {"index": 7}
+    assert Overlap(str(tmp_path)).newer_list(DISCOVERY, known) is known
+
+
+def test_a_list_is_handed_on_whole(tmp_path: Path) -> None:
+    overlap = Overlap(str(tmp_path))
+    assert overlap.newer_list(DISCOVERY, {}) == {}
+    overlap.keep_list(DISCOVERY, {"index": 9, "snapshot": True, "endpoints": [{"name": "s"}]})
+    assert os.listdir(tmp_path) == [LIST]
+    assert overlap.newer_list(DISCOVERY, {"index": 8})["endpoints"] == [{"name": "s"}]
+    assert Overlap(None).newer_list(DISCOVERY, {"index": 8}) == {"index": 8}
+
+
+@on_loop
+async def test_what_discovery_has_told_is_kept_as_it_stands() -> None:
+    news = [
+        list_reply(8, endpoint("s-1", "127.0.0.1:1", status="DRAINING"), snapshot=False),
+        list_reply(9, endpoint("s-0", "127.0.0.1:1", status="DELETED"), snapshot=False),
+    ]
+    async with peer(lambda exchange: exchange.answer(news.pop(0)) if news else None) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"]["membershipMode"] = "on_request"
+        async with running(config) as run:
+            kept: list[dict[str, object]] = []
+            run.gateway.discovery.on_news = lambda address, known: kept.append(known)
+            run.gateway.discovery.watch(True)
+            await until(lambda: len(kept) == 2)
+            assert kept[0] == hosts_list(
+                8, endpoint("s-0", "127.0.0.1:1"), endpoint("s-1", "127.0.0.1:1", status="DRAINING")
+            )
+            assert kept[1] == hosts_list(9, endpoint("s-1", "127.0.0.1:1", status="DRAINING"))
+
+
+@on_loop
+async def test_the_next_process_begins_with_what_the_last_one_heard(tmp_path: Path) -> None:
+    """The platform's list still names a host that has gone; the processes' own one has its successor."""
+    async with peer() as gone, peer() as successor:
+        config = configuration(gone)
+        overlap = Overlap(str(tmp_path))
+        overlap.keep_list(("127.0.0.1", 9), hosts_list(8, endpoint("s-5", successor.address)))
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            process = await start(tmp_path, listener, config)
+            assert await ask(port, request("transfer")) == 200
+            assert len(successor.seen) == 1 and not gone.seen
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+
+def test_cold_servers_get_from_two_processes_what_one_may_send() -> None:
+    from caperdrift.interface import Sharing
+    from tests.helpers import Driver
+
+    driver = Driver()
+    whole = driver.balancer.fall_budget_us()
+    driver.handle(Sharing(2))
+    assert driver.balancer.fall_budget_us() == whole / 2
+    driver.handle(Sharing(1))
+    assert driver.balancer.fall_budget_us() == whole
