--- a/cloverkeel/drain.py
+++ b/cloverkeel/drain.py
@@ -15,6 +15,7 @@
 LEAVE_QUIET_S = 0.5  # after SIGTERM: until then a connection is closed only with word of it in an answer
 LEAVE_ACCEPT_S = 0.7  # after SIGTERM: new connections go on coming for 0.4 s
 STANDBY_QUIET_S = 1.2  # the same after `standby`: what is idle still then is hardly in use
+LEAVE_UNFINISHED_S = 1.0  # after SIGTERM: by then who wants an answer has asked for it
 FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come
 
 
@@ -65,6 +66,13 @@
         quiet_s = LEAVE_QUIET_S if self.phase is Phase.LEAVING else STANDBY_QUIET_S
         return now_s - self.since_s >= quiet_s
 
+    def awaits_unfinished(self, now_s: float) -> bool:
+        """Whether a process that leaves still waits for requests that have begun and are not whole.
+
+        Guards against staying away for long for the sake of connections that never finish one.
+        """
+        return now_s - self.since_s < LEAVE_UNFINISHED_S
+
     @property
     def end_s(self) -> float:
         """When a process that leaves has to be gone: what is unanswered then is killed."""
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -160,14 +160,13 @@
     def give_up_client(self, age_s: float) -> bool:
         """Close a connection on which nothing is asked, or not yet all of it: the oldest such.
 
-        Who had 2 s for a head goes first, then who never spoke or was kept; who is still writing goes last.
+        Who had 2 s for a head goes first, then who never spoke or was kept; who is still writing goes last,
+        and only where no more than `age_s` of 0 is asked for.
         """
         now_s = asyncio.get_running_loop().time()
-        overdue_s = max(age_s, SILENT_S)
-        for phase, least_s in (
-            (self.silent, overdue_s), (self.reading, overdue_s), (self.bodies, overdue_s),
-            (self.silent, age_s), (self.kept, age_s), (self.reading, age_s), (self.bodies, age_s),
-        ):  # fmt: skip
+        overdue = [(phase, SILENT_S) for phase in (self.silent, self.reading, self.bodies)]
+        asking = [(phase, 0.0) for phase in (self.reading, self.bodies) if age_s <= 0.0]
+        for phase, least_s in (*overdue, (self.silent, age_s), (self.kept, age_s), *asking):
             for connection, since_s in phase.items():
                 if now_s - since_s < least_s:
                     break
@@ -231,6 +230,10 @@
         while self.listener is not None or self.connections or self.accepting:
             if self.listener is not None and loop.time() >= self.drain.since_s + LEAVE_ACCEPT_S:
                 self.stop_listening()
+            if self.listener is None and not self.drain.awaits_unfinished(loop.time()):
+                for connection in list(self.connections):
+                    if connection.may_yield():
+                        connection.close()
             await asyncio.sleep(POLL_S)
 
     def stop_listening(self) -> None:
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -201,3 +201,29 @@
             assert await client.reader.read() == b""
             client.close()
         assert not server.give_up_client(0.0)
+
+
+@on_loop
+async def test_who_never_finishes_a_request_does_not_keep_the_program(tmp_path: Path) -> None:
+    """It ends before a deadline of 20 s, or the 3.6 s that it may take, has to be waited out."""
+    import signal
+
+    from cloverkeel.drain import LEAVE_UNFINISHED_S
+
+    async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
+        begun, held = await connect(port), await connect(port)
+        begun.send(TRANSFER)
+        held.send(request("transfer"))
+        await until(lambda: host.seen)
+        loop = asyncio.get_running_loop()
+        since_s = loop.time()
+        process.send_signal(signal.SIGTERM)
+        assert await begun.reader.read() == b""  # let go while the other is still held
+        assert loop.time() - since_s >= LEAVE_UNFINISHED_S
+        host.seen[0].answer(reply())
+        assert (await held.answer()).status == 200
+        assert await process.wait() == 0
+        _, errors = await process.communicate()
+        assert b"unanswered" not in errors
+        begun.close()
+        held.close()
