--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -767,8 +767,8 @@
         return not server.out or self.now_us - next(iter(server.out.values())) <= self.silent_us
 
     def avoided(self) -> int:
-        """How many listed servers get nothing, or trials at the most: a query that changes nothing."""
-        return sum(server.breaker.state is not State.CLOSED for server in self.servers.values())
+        """How many listed servers get nothing, as their breaker is open: a query that changes nothing."""
+        return sum(server.breaker.state is State.OPEN for server in self.servers.values())
 
     # Judging servers
 
