Spread gateways evenly over a ring, and give cold servers more of their budget

The cause, by log lines of the servers in reach: after a release cold servers stood idle while the warm ones were jammed, as the jam itself raised what a request was taken to cost them (140 of 60 ms). The cost is now bounded by 1.25 of the unhindered time, and 0.7 of the budget is planned with (0.5 before). Ruled out: open breakers (1 of 24) and a stale list.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -69,7 +69,8 @@
 TENANT_MEMORY = 0.98  # of the tries by tenant, left after each try
 OVER_SHARE = 1.5  # times its share: a tenant's tries beyond are more than chance
 # Cold servers
-FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
+FALL_MARGIN = 0.7  # part of the fall budget that is planned with; the rest is for misjudged work and chance
+COLD_COST = 1.25  # of the unhindered latency: the most that a request is taken to cost a cold server
 
 LOG_GAP_US = 100_000  # between two log lines
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
@@ -179,7 +180,7 @@
 
     entry: ListedServer
     weight: float  # of the controller
-    rank: float  # rendezvous hash of this proxy and the server: its place in the subset, lowest first
+    rank: float  # a hash of it: its place in the ring, the same at every proxy
     near: float  # 1 in this proxy's zone, less in others the more a crossing costs
     warm_at_us: int  # at the latest
     breaker: Breaker = field(default_factory=Breaker)
@@ -863,8 +864,12 @@
         return FALL_MARGIN * self.settings.fall_multiple * self.settings.fall_us / users / self.processes
 
     def cold_cost_us(self, request: Request) -> float:
-        """Work of a request: above the fastest replies, below the usual ones, which have waited too."""
-        return (self.unhindered[request.klass] + self.smoothed[request.klass]) / 2 * request.size
+        """Work of a request: above the fastest replies, below the usual ones, which have waited too.
+
+        No more than so much above: in a jam of the warm servers the cold ones are needed the most.
+        """
+        fastest_us = self.unhindered[request.klass]
+        return min((fastest_us + self.smoothed[request.klass]) / 2, COLD_COST * fastest_us) * request.size
 
     def cold_share(self, server: Server) -> float:
         """Share of its capacity that a server surely has by now."""
@@ -896,7 +901,11 @@
         for entry in event.servers:
             self.list_server(entry)
         ready = [s for s in self.servers.values() if s.entry.status is ServerStatus.READY]
-        self.ranked = sorted(ready, key=attrgetter("rank"))
+        # From its own place on, each at an even distance from the next: chance would send many proxies to
+        # some servers and few to others.
+        in_ring = sorted(ready, key=attrgetter("rank"))
+        first = self.settings.proxy * len(in_ring) // self.settings.proxies
+        self.ranked = in_ring[first:] + in_ring[:first]
         self.serve_waiting()
 
     def list_server(self, entry: ListedServer) -> None:
@@ -907,7 +916,7 @@
             weights = [s.weight for s in self.servers.values() if s is not known]
             mean = sum(weights) / len(weights) if weights else CEILING
             near = self.nearness(entry)
-            rank = rendezvous(self.settings.proxy, entry.server, near)
+            rank = rendezvous(0, entry.server, 1.0)
             warm_at_us = entry.started_us + self.settings.warm_after_us if entry.started_us else 0
             server = Server(entry, mean, rank, near, warm_at_us, spent_at_us=self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from caperdrift.balance import COME_BACK, CROWD, SUBSET, WAIT
+from caperdrift.balance import COLD_COST, COME_BACK, CROWD, SUBSET, WAIT
 from caperdrift.interface import ListedServer, Outcome, Refuse, RequestClass, ServerStatus
 from tests.helpers import SAFE, SETTINGS, Driver, finals, sends, timers
 
@@ -118,3 +118,21 @@
             driver.end(name, send.server)
     used = [s for s in driver.balancer.ranked if s.good_at_us]
     assert len(used) >= SUBSET
+
+
+def test_proxies_spread_evenly_over_the_servers() -> None:
+    met: dict[int, int] = {}
+    for proxy in range(14):
+        driver = Driver(replace(SETTINGS, proxies=14, proxy=proxy), servers=24, seed=proxy)
+        for server in driver.balancer.ranked[:6]:
+            met[server.entry.server] = met.get(server.entry.server, 0) + 1
+    assert len(met) == 24 and set(met.values()) <= {3, 4}
+
+
+def test_a_jam_of_the_warm_does_not_shut_out_the_cold() -> None:
+    """What a request costs a cold server is no more than somewhat above its unhindered time."""
+    driver = Driver()
+    name, _ = driver.arrive()
+    request = driver.balancer.requests[name]
+    driver.balancer.smoothed[0] = 10 * driver.balancer.unhindered[0]
+    assert driver.balancer.cold_cost_us(request) == COLD_COST * driver.balancer.unhindered[0]
