Describe the module, survive an unusable TMPDIR, let slow readers take their time

A long answer's client is given up after 30 s without a byte read, not 10: the kernel signals room only once a third of what it holds is read, over a megabyte, which takes a client at 64 kB/s longer than 10 s. Not taken: a smaller kernel buffer, which slows every answer. An unusable TMPDIR is one line, and the process runs as if alone; before, it ended with a wrong word about the address.

--- a/cloverkeel/overlap.py
+++ b/cloverkeel/overlap.py
@@ -32,13 +32,21 @@
         self.serving = 0  # those of them that serve
 
     def join(self) -> None:
-        """Be seen by the others: locked first, named after, so that no unlocked mark is ever ours."""
+        """Be seen by the others: locked first, named after, so that no unlocked mark is ever ours.
+
+        Where the folder can't be used the process runs all the same, as if it were the only one.
+        """
         if self.folder is None:
             return
         fresh = self.folder / f"sagetrack-{os.getpid()}.new"
-        self.descriptor = os.open(fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-        fcntl.flock(self.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        self._rename(fresh, "starting")
+        try:
+            self.descriptor = os.open(fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+            fcntl.flock(self.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._rename(fresh, "starting")
+        except OSError as error:
+            log(f"TMPDIR {self.folder} cannot be used, other processes are not seen: {error.strerror}")
+            self.folder = None
+            return
         self.look()
 
     def serve(self) -> None:
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -7,7 +7,7 @@
 import socket
 from typing import cast
 
-from cloverkeel.bodies import STALL_S, Allowance, Upload
+from cloverkeel.bodies import Allowance, Upload
 from cloverkeel.config import Config
 from cloverkeel.drain import LEAVE_ACCEPT_S, Drain
 from cloverkeel.gateway import Call, Gateway, Source
@@ -31,6 +31,9 @@
 KEPT_CROWDED_S = 2.0  # the same where many connections are up
 LINGER_S = 0.5  # for the client to read an answer that it did not expect
 STUCK_S = 2.4  # an answer is not being read
+# The same for one that passes through: the kernel takes more only once a third of what it holds has been
+# read, which may be more than a megabyte, and a slow client has done nothing wrong.
+STREAM_STUCK_S = 30.0
 SWEEP_S = 0.2
 HURRIED_S = 0.3  # who says nothing for so long goes first where descriptors run short
 # Descriptors
@@ -329,7 +332,7 @@
             return
         upload = self.reader.upload
         if self.stuck:
-            stuck_s = STUCK_S if self.source is None else STALL_S
+            stuck_s = STUCK_S if self.source is None else STREAM_STUCK_S
             self.enter(server.ending, asyncio.get_running_loop().time() + stuck_s)
         elif upload is not None and self.current is not None and self.current.upload is upload:
             self.enter(server.bodies)
--- a/tests/test_gateway_upgrade.py
+++ b/tests/test_gateway_upgrade.py
@@ -198,3 +198,16 @@
     assert driver.balancer.fall_budget_us() == whole / 2
     driver.handle(Sharing(1))
     assert driver.balancer.fall_budget_us() == whole
+
+
+def test_a_folder_that_cannot_be_used_is_said_and_does_no_harm(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    overlap = Overlap(str(tmp_path / "missing"))
+    overlap.join()
+    overlap.serve()
+    overlap.look()
+    overlap.keep_list(DISCOVERY, {"index": 1})
+    overlap.leave()
+    assert (overlap.others, overlap.serving) == (0, 0)
+    assert capsys.readouterr().err.count("\n") == 1
