Move both packages into one, sagetrack, with layers that import-linter checks

Need: two packages named by accident stood in the way of the subsystems to come: the gateway's core, the protocol, discovery and the parts for operators imported each other in circles, so nothing could enter beside HTTP or be tried without it.

Change: `git mv` into sagetrack/{decide,sim,config,core,roster,http,ops}. Circles are cut by handing things in: ops/instance puts the parts together, discovery is given its connection, the front its listening socket and its sibling processes. The readers of settings and load reports stand in decide/reading, the log in core/log, which now bounds each event to 20 lines at once and 5 a second and counts what it held back. `python -m sagetrack` starts the gateway as before.

--- a/cloverkeel/config.py
+++ b/sagetrack/config/platform.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from caperdrift.interface import Settings
-from caperdrift.wire import WireError, parse_settings
+from sagetrack.decide.interface import Settings
+from sagetrack.decide.reading import WireError, parse_settings
 
 Address = tuple[str, int]
 
--- a/cloverkeel/bodies.py
+++ b/sagetrack/core/bodies.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from cloverkeel.clock import now_us
+from sagetrack.core.clock import now_us
 
 LARGE_LIMIT = 32 * 1024 * 1024  # of a body that passes through, either way
 HIGH = 64 * 1024  # bytes held for one body before its sender is paused
--- /dev/null
+++ b/sagetrack/core/calls.py
@@ -0,0 +1,82 @@
+"""What fronts, backs and the gateway between them speak of: answers, and entries of the roster."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from sagetrack.config.platform import Address
+from sagetrack.decide.interface import ListedServer, ListKind
+
+Header = tuple[bytes, bytes]
+
+
+class Reply:
+    """One whole answer, or the head of one whose body passes through."""
+
+    __slots__ = ("body", "headers", "keep_alive", "length", "status")
+
+    def __init__(
+        self, status: int, headers: list[Header], body: bytes, keep_alive: bool, length: int | None = None
+    ) -> None:
+        self.status, self.headers, self.body, self.keep_alive = status, headers, body, keep_alive
+        self.length = length  # as it was announced
+
+
+class Entry:
+    """One server of a list, for the module and for the pools."""
+
+    __slots__ = ("address", "listed", "name")
+
+    def __init__(self, name: str, address: Address, listed: ListedServer) -> None:
+        self.name, self.address, self.listed = name, address, listed
+
+
+OnList = Callable[[ListKind, list[Entry]], None]
+
+
+class Roster(Protocol):
+    """Who tells what servers there are."""
+
+    def take_known(self, raw: dict[str, Any]) -> None:
+        """Begin with the list from before."""
+        ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Siblings(Protocol):
+    """Other processes of the same gateway, as at an upgrade."""
+
+    others: int  # that run
+    serving: int  # those of them that serve
+
+    def look(self) -> None:
+        """Count them again."""
+        ...
+
+    def serve(self) -> None:
+        """Say that this process takes clients."""
+        ...
+
+    def leave(self) -> None: ...
+
+
+class Alone:
+    """No other process."""
+
+    others = 0
+    serving = 0
+
+    def look(self) -> None:
+        """There is nobody to count."""
+
+    def serve(self) -> None:
+        """There is nobody to tell."""
+
+    def leave(self) -> None:
+        """There is nobody to tell."""
--- /dev/null
+++ b/sagetrack/core/log.py
@@ -0,0 +1,76 @@
+"""The program's log: events with fields, bounded in rate for each event; where lines go is set once.
+
+Until `use` is called, an event is one plain line on standard error. `use` hands over to another sink, which
+the operator's file asks for. Nothing is logged for each request.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from time import monotonic
+
+Sink = Callable[[str, str, dict[str, object]], None]  # level, event, fields
+
+LEVELS = ("debug", "info", "warning", "error")
+BURST = 20.0  # lines of one event at once
+RATE = 5.0  # lines of one event a second, in the long run
+EVENTS = 256  # events that are told apart; the rest share one bound
+
+
+class Bound:
+    """A token bucket for each event: a flood of one kind neither hides the others nor costs the program.
+
+    What was held back is counted and told with the next line of that event that passes.
+    """
+
+    __slots__ = ("buckets", "burst", "rate")
+
+    def __init__(self, burst: float = BURST, rate: float = RATE) -> None:
+        self.burst, self.rate = burst, rate
+        self.buckets: dict[str, list[float]] = {}  # tokens, when they were counted, lines held back
+
+    def admit(self, event: str, now_s: float) -> int:
+        """Lines of this event that were held back before this one, or -1 if this one is held back too."""
+        bucket = self.buckets.get(event)
+        if bucket is None:
+            if len(self.buckets) >= EVENTS:
+                event = ""
+            bucket = self.buckets.setdefault(event, [self.burst, now_s, 0.0])
+        bucket[0] = min(self.burst, bucket[0] + (now_s - bucket[1]) * self.rate)
+        bucket[1] = now_s
+        if bucket[0] < 1.0:
+            bucket[2] += 1.0
+            return -1
+        bucket[0] -= 1.0
+        held, bucket[2] = int(bucket[2]), 0.0
+        return held
+
+
+def plain(level: str, event: str, fields: dict[str, object]) -> None:
+    """One line on standard error, as the platform keeps it."""
+    named = "".join(f" {name}={value}" for name, value in fields.items())
+    print(f"sagetrack: {event}{named}", file=sys.stderr, flush=True)
+
+
+_sink: Sink = plain
+_bound = Bound()
+
+
+def use(sink: Sink, bound: Bound | None = None) -> None:
+    """Send what is logged from now on to another sink, under another bound."""
+    global _sink, _bound
+    _sink, _bound = sink, bound or Bound()
+
+
+def log(event: str, level: str = "info", kind: str | None = None, **fields: object) -> None:
+    """Log an event. `kind` names what it is bounded with; without it that is the first word and its length.
+
+    The fields with fixed names are `gateway`, `server`, `call`, `class` and `member`.
+    """
+    held = _bound.admit(kind or event.partition(":")[0][:40], monotonic())
+    if held < 0:
+        return
+    if held:
+        fields["held_back"] = held
+    _sink(level, event, fields)
--- a/caperdrift/__init__.py
+++ b/sagetrack/decide/__init__.py
@@ -1,7 +1,7 @@
-"""caperdrift: the decisions of a load-balancing proxy for fleets of HTTP servers."""
+"""The decisions of a load-balancing gateway: pure, no clock, no I/O."""
 
-from caperdrift.balance import Balancer
-from caperdrift.interface import (
+from sagetrack.decide.balance import Balancer
+from sagetrack.decide.interface import (
     Action,
     AttemptEnded,
     AttemptWritten,
@@ -79,4 +79,3 @@
     "TimerFired",
     "WatchList",
 ]
-__version__ = "0.1.0"
--- a/caperdrift/balance.py
+++ b/sagetrack/decide/balance.py
@@ -1,4 +1,4 @@
-"""All decisions of the balancer. Its settings, events and actions are in caperdrift/interface.py.
+"""All decisions of the balancer. Its settings, events and actions are in sagetrack/decide/interface.py.
 
 The ordinary path: a request arrives and a weighted random draw picks among the servers whose breaker lets it
 through. A server's weight in the draw is its listed weight times the weight of the feedback controller, less
@@ -14,7 +14,7 @@
 from enum import Enum
 from operator import attrgetter
 
-from caperdrift.interface import (
+from sagetrack.decide.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Effect, Event, Fail, ListedServer, ListKind,
     Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer,
     Settings, Sharing, StreamStarted, TimerFired, WatchList,
--- a/cloverkeel/hosts.py
+++ b/sagetrack/http/back.py
@@ -8,13 +8,14 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from caperdrift.interface import LoadReport, Outcome, Settings
-from caperdrift.wire import parse_load
-
-from cloverkeel.bodies import STALL_S, Upload, nothing
-from cloverkeel.clock import now_us
-from cloverkeel.config import Address
-from cloverkeel.http1 import Reply, ReplyError, ReplyReader, header
+from sagetrack.decide.interface import LoadReport, Outcome, Settings
+from sagetrack.decide.reading import parse_load
+
+from sagetrack.core.bodies import STALL_S, Upload, nothing
+from sagetrack.core.clock import now_us
+from sagetrack.config.platform import Address
+from sagetrack.core.calls import Reply
+from sagetrack.http.http1 import ReplyError, ReplyReader, header
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
 SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
--- a/cloverkeel/server.py
+++ b/sagetrack/http/front.py
@@ -7,15 +7,16 @@
 import socket
 from typing import cast
 
-from cloverkeel.bodies import Allowance, Upload
-from cloverkeel.config import Config
-from cloverkeel.drain import LEAVE_ACCEPT_S, Drain
-from cloverkeel.gateway import Call, Gateway, Source
-from cloverkeel.http1 import Header, Reply, end_to_end, log
-from cloverkeel.listen import BACKLOG, bind, inherit
-from cloverkeel.overlap import Overlap
-from cloverkeel.requests import Request, RequestError, RequestReader, read_call
-
+from sagetrack.core.bodies import Allowance, Upload
+from sagetrack.config.platform import Config
+from sagetrack.core.drain import LEAVE_ACCEPT_S, Drain
+from sagetrack.http.gateway import Call, Gateway, Source
+from sagetrack.core.calls import Alone, Header, Reply, Roster, Siblings
+from sagetrack.core.log import log
+from sagetrack.http.http1 import end_to_end
+from sagetrack.http.requests import Request, RequestError, RequestReader, read_call
+
+BACKLOG = 1024  # connections that may wait to be accepted
 READY_PATH = b"/health/ready"
 POLL_S = 0.02  # between looks at what is still to end, during a drain
 PIPELINED = 16  # requests read ahead on one connection
@@ -65,20 +66,17 @@
         self.buffer = memoryview(bytearray(READ_SIZE))  # of all connections: what is read is copied at once
         longest_us = max(klass.give_up_us for klass in config.settings.classes)
         self.drain = Drain(longest_us / 1e6)
-        self.overlap = Overlap(config.folder if config.accept_fd is not None else None)
+        self.overlap: Siblings = Alone()
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.drainer: asyncio.TimerHandle | None = None
         gateway.pools.room = self.make_room
 
-    async def start(self) -> None:
-        descriptor = self.config.accept_fd
-        self.overlap.join()
+    def start(self, listener: socket.socket, roster: Roster) -> None:
+        """Take clients from this socket, which listens, and servers from this roster."""
         self.gateway.share(1 + self.overlap.others)
-        self.gateway.known = self.overlap.newer_list(self.config.discovery, self.gateway.known)
-        self.gateway.discovery.on_news = self.overlap.keep_list
-        self.listener = bind(self.config.listen) if descriptor is None else inherit(descriptor)
-        self.gateway.start()  # nobody is let in before there is a list of hosts to serve from
+        self.listener = listener
+        self.gateway.start(roster)  # nobody is let in before there is a list of hosts to serve from
         loop = asyncio.get_running_loop()
         loop.add_reader(self.listener.fileno(), self.accept)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
--- a/cloverkeel/gateway.py
+++ b/sagetrack/http/gateway.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from caperdrift.balance import Balancer
-from caperdrift.interface import (
+from sagetrack.decide.balance import Balancer
+from sagetrack.decide.interface import (
     Action,
     AttemptEnded,
     AttemptWritten,
@@ -42,13 +42,13 @@
     WatchList,
 )
 
-from cloverkeel.bodies import Upload
-from cloverkeel.clock import now_us
-from cloverkeel.config import Config
-from cloverkeel.discovery import Discovery, Entry
-from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, Pools, load_of
-from cloverkeel.http1 import Reply, log
-from cloverkeel.metrics import Metrics
+from sagetrack.core.bodies import Upload
+from sagetrack.core.clock import now_us
+from sagetrack.config.platform import Config
+from sagetrack.http.back import PROBE_TIMEOUT_US, Attempt, Pools, load_of
+from sagetrack.core.calls import Entry, Reply, Roster
+from sagetrack.core.log import log
+from sagetrack.core.metrics import Metrics
 
 
 class Source(Protocol):
@@ -122,8 +122,7 @@
         self.settings = config.settings
         self.balancer = Balancer(config.settings, config.seed)
         self.pools = Pools(config.settings)
-        pushed = config.settings.list_is_pushed
-        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
+        self.roster: Roster | None = None  # from the start on
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
         self.held: dict[str, Held] = {}
@@ -136,9 +135,10 @@
         }
         self.metrics = Metrics([name.decode() for name in config.names.classes], gauges)
 
-    def start(self) -> None:
+    def start(self, roster: Roster) -> None:
         """Begin with the list from before, and ask for a newer one when the module says so."""
-        self.discovery.take_known(self.known)
+        self.roster = roster
+        roster.take_known(self.known)
 
     def share(self, processes: int) -> None:
         """So many processes are this gateway now."""
@@ -151,7 +151,8 @@
 
     def close(self) -> None:
         self.closed = True
-        self.discovery.close()
+        if self.roster is not None:
+            self.roster.close()
         self.pools.close()
 
     # Events in
@@ -248,9 +249,11 @@
             case Cancel():
                 self.cancel(action)
             case WatchList():
-                self.discovery.watch(action.on)
+                if self.roster is not None:
+                    self.roster.watch(action.on)
             case FetchList():
-                self.discovery.fetch()
+                if self.roster is not None:
+                    self.roster.fetch()
             case Probe():
                 self.probe(action.server)
             case CloseIdle():
--- a/cloverkeel/http1.py
+++ b/sagetrack/http/http1.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Iterable
 
 import httptools
 
-from cloverkeel.bodies import LARGE_LIMIT
-
-Header = tuple[bytes, bytes]
+from sagetrack.core.bodies import LARGE_LIMIT
+from sagetrack.core.calls import Header, Reply
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
@@ -42,27 +40,10 @@
     return next((value for name, value in headers if name.lower() == wanted), None)
 
 
-def log(line: str) -> None:
-    """One line of the program's log; nothing is logged for each request."""
-    print(f"cloverkeel: {line}", file=sys.stderr, flush=True)
-
-
 class ReplyError(ValueError):
     """What came back is no answer that can be used."""
 
 
-class Reply:
-    """One whole answer, or the head of one whose body passes through."""
-
-    __slots__ = ("body", "headers", "keep_alive", "length", "status")
-
-    def __init__(
-        self, status: int, headers: list[Header], body: bytes, keep_alive: bool, length: int | None = None
-    ) -> None:
-        self.status, self.headers, self.body, self.keep_alive = status, headers, body, keep_alive
-        self.length = length  # as it was announced
-
-
 class ReplyReader:
     """Turns the bytes of one connection into whole answers, one at a time.
 
--- a/cloverkeel/requests.py
+++ b/sagetrack/http/requests.py
@@ -6,12 +6,13 @@
 
 import httptools
 
-from caperdrift.interface import Effect
+from sagetrack.decide.interface import Effect
 
-from cloverkeel.bodies import LARGE_LIMIT, Allowance, Upload
-from cloverkeel.config import Config, stable_id
-from cloverkeel.gateway import Call, Client
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, end_to_end, header, trimmed
+from sagetrack.core.bodies import LARGE_LIMIT, Allowance, Upload
+from sagetrack.config.platform import Config, stable_id
+from sagetrack.core.calls import Header
+from sagetrack.http.gateway import Call, Client
+from sagetrack.http.http1 import BODY_LIMIT, HEAD_LIMIT, end_to_end, header, trimmed
 
 ID_LIMIT = 128
 SLICE = 4096  # bytes parsed before it is looked at how many requests they held
--- a/cloverkeel/admin.py
+++ b/sagetrack/ops/admin.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from cloverkeel.config import Address
+from sagetrack.config.platform import Address
 
 LINE_LIMIT = 256  # bytes
 CALLERS = 12  # connections at once; the oldest yields to the next
--- /dev/null
+++ b/sagetrack/ops/instance.py
@@ -0,0 +1,49 @@
+"""One gateway in this process, put together from its parts."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from sagetrack.config.platform import Config
+from sagetrack.http.front import Server
+from sagetrack.http.gateway import Gateway
+from sagetrack.http.line import HttpLine, connect
+from sagetrack.ops.listen import bind, inherit
+from sagetrack.ops.overlap import Overlap
+from sagetrack.roster.discovery import CallError, Discovery
+
+
+async def _ask_discovery(address: tuple[str, int]) -> HttpLine:
+    return await connect(address, CallError)
+
+
+class Instance:
+    """The gateway, its clients' side and where its list of servers comes from. Made on a running loop."""
+
+    def __init__(self, config: Config) -> None:
+        asyncio.get_running_loop()  # RuntimeError without one
+        self.config = config
+        self.gateway = Gateway(config)
+        self.server = Server(config, self.gateway)
+        self.overlap = Overlap(config.folder if config.accept_fd is not None else None)
+        self.server.overlap = self.overlap
+        pushed = config.settings.list_is_pushed
+        self.discovery = Discovery(
+            config.discovery, config.names, self.gateway.on_list, pushed, _ask_discovery
+        )
+
+    async def start(self) -> None:
+        """Begin to take clients; OSError or ConfigError if the listening socket cannot be had."""
+        config, overlap = self.config, self.overlap
+        overlap.join()
+        self.gateway.known = overlap.newer_list(config.discovery, self.gateway.known)
+        self.discovery.on_news = overlap.keep_list
+        descriptor = config.accept_fd
+        listener: socket.socket = bind(config.listen) if descriptor is None else inherit(descriptor)
+        self.server.start(listener, self.discovery)
+
+    def close(self) -> None:
+        """Give up everything at once."""
+        self.server.close()
+        self.gateway.close()
--- a/cloverkeel/listen.py
+++ b/sagetrack/ops/listen.py
@@ -5,9 +5,8 @@
 import os
 import socket
 
-from cloverkeel.config import Address, ConfigError
-
-BACKLOG = 1024
+from sagetrack.config.platform import Address, ConfigError
+from sagetrack.http.front import BACKLOG
 
 
 def bind(address: Address, backlog: int = BACKLOG) -> socket.socket:
--- a/cloverkeel/overlap.py
+++ b/sagetrack/ops/overlap.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import Any
 
-from cloverkeel.config import Address
-from cloverkeel.http1 import log
+from sagetrack.config.platform import Address
+from sagetrack.core.log import log
 
 NAME = re.compile(r"sagetrack-(\d+)\.(starting|serving)")
 LIST = "sagetrack-list.json"  # the address servers as a process last heard of them
--- a/cloverkeel/__main__.py
+++ b/sagetrack/ops/process.py
@@ -1,4 +1,4 @@
-"""Start, signals, exit."""
+"""The gateway as a process: start, signals, exit."""
 
 from __future__ import annotations
 
@@ -18,12 +18,12 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
     # Imported late: a signal during the start must find its handler.
-    from cloverkeel.config import ConfigError, load
+    from sagetrack.config.platform import ConfigError, load
 
     try:
         config = load()
     except ConfigError as error:
-        print(f"cloverkeel: {error}", file=sys.stderr)
+        print(f"sagetrack: {error}", file=sys.stderr)
         return 2
 
     import asyncio
@@ -31,29 +31,28 @@
 
     import uvloop
 
-    from cloverkeel.admin import Admin
-    from cloverkeel.config import Address
-    from cloverkeel.gateway import Gateway
-    from cloverkeel.http1 import log
-    from cloverkeel.reload import Reloader
-    from cloverkeel.server import Server
+    from sagetrack.ops.admin import Admin
+    from sagetrack.config.platform import Address
+    from sagetrack.core.log import log
+    from sagetrack.ops.instance import Instance
+    from sagetrack.ops.reload import Reloader
 
     async def serve() -> int:
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
-        gateway = Gateway(config)
-        reloader = Reloader(gateway.discovery)
+        instance = Instance(config)
+        gateway, server = instance.gateway, instance.server
+        reloader = Reloader(instance.discovery)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
-        server = Server(config, gateway)
         admin = Admin(server)
         address: Address | None = config.admin
         try:
             if address is not None:
                 await admin.start(address)  # until the server is up it says that no clients are taken
             address = config.listen
-            await server.start()
+            await instance.start()
         except ConfigError as error:
             log(str(error))
             return 2
@@ -61,7 +60,7 @@
             assert address is not None
             why = os.strerror(error.errno) if error.errno else str(error)
             log(f"cannot listen on {address[0]}:{address[1]}: {why}")
-            server.overlap.leave()
+            instance.overlap.leave()
             return 1
         if early:
             reloader.ask()
@@ -78,13 +77,10 @@
         counts = gateway.pools.counts
         log(f"ends; connections to hosts: {counts}")
         admin.close()
-        server.overlap.leave()
+        instance.overlap.leave()
         gateway.close()
         return 0
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(serve())
 
-
-if __name__ == "__main__":
-    raise SystemExit(main())
--- a/cloverkeel/reload.py
+++ b/sagetrack/ops/reload.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from cloverkeel.config import Config, ConfigError, load
-from cloverkeel.discovery import Discovery
-from cloverkeel.http1 import log
+from sagetrack.config.platform import Config, ConfigError, load
+from sagetrack.roster.discovery import Discovery
+from sagetrack.core.log import log
 
 
 class Reloader:
--- a/cloverkeel/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -5,38 +5,44 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable, Coroutine
-from typing import Any, cast
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
 
-from caperdrift.interface import ListedServer, ListKind, ServerStatus
+from sagetrack.decide.interface import ListedServer, ListKind, ServerStatus
 
-from cloverkeel.config import Address, Names, parse_address, stable_id
-from cloverkeel.http1 import Reply, ReplyError, ReplyReader, log
+from sagetrack.config.platform import Address, Names, parse_address, stable_id
+from sagetrack.core.calls import Entry, OnList, Reply
+from sagetrack.core.log import log
 
 LIST = b"/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
 CALL_TIMEOUT_S = 8.0  # for an answer beyond that wait
 FIRST_RETRY_S, LAST_RETRY_S = 0.2, 5.0  # between calls where the module does not ask itself
-LIST_LIMIT = 16 * 1024 * 1024
 STATUSES = {
     "SERVING": ServerStatus.READY,
     "DRAINING": ServerStatus.DRAINING,
     "DELETED": ServerStatus.GONE,
 }
-OnList = Callable[[ListKind, "list[Entry]"], None]
 
 
 class CallError(Exception):
     """A call to discovery has failed."""
 
 
-class Entry:
-    """One host of a list, for the module and for the pools."""
+class Line(Protocol):
+    """A connection to discovery: one call at a time."""
 
-    __slots__ = ("address", "listed", "name")
+    @property
+    def is_open(self) -> bool: ...
+
+    async def ask(self, head: bytes) -> Reply:
+        """The whole answer; CallError if there is none."""
+        ...
+
+    def close(self) -> None: ...
 
-    def __init__(self, name: str, address: Address, listed: ListedServer) -> None:
-        self.name, self.address, self.listed = name, address, listed
+
+Connect = Callable[[Address], Awaitable[Line]]
 
 
 def parse_entry(raw: dict[str, Any], names: Names) -> Entry:
@@ -91,52 +97,13 @@
     return int(raw["index"]), bool(raw.get("snapshot", False)), list(entries.values())
 
 
-class _Line(asyncio.Protocol):
-    """The connection to discovery: one call at a time."""
-
-    def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.replies = ReplyReader(LIST_LIMIT)
-        self.answer: asyncio.Future[Reply] | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            reply = self.replies.feed(data)
-        except ReplyError as error:
-            self.fail(str(error))
-            return
-        if reply is not None and self.answer is not None and not self.answer.done():
-            self.answer.set_result(reply)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        self.fail("the connection ended")
-
-    def fail(self, why: str) -> None:
-        if self.answer is not None and not self.answer.done():
-            self.answer.set_exception(CallError(why))
-        self.close()
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-    async def ask(self, head: bytes) -> Reply:
-        if self.transport is None or self.transport.is_closing():
-            raise CallError("the connection has ended")
-        self.answer = asyncio.get_running_loop().create_future()
-        self.transport.write(head)
-        return await self.answer
-
-
 class Discovery:
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
-    def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
-        self.names, self.on_list = names, on_list
+    def __init__(
+        self, address: Address, names: Names, on_list: OnList, pushed: bool, connect: Connect
+    ) -> None:
+        self.names, self.on_list, self.connect = names, on_list, connect
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.failures = 0
         self.closed = False
@@ -236,13 +203,11 @@
         if self.fetching is task:
             self.fetching = None
 
-    async def _connect(self) -> _Line:
-        loop = asyncio.get_running_loop()
+    async def _connect(self) -> Line:
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            _, call = await loop.create_connection(_Line, *self.address)
-        return call
+            return await self.connect(self.address)
 
-    async def _ask(self, call: _Line, target: bytes, wait_s: float) -> None:
+    async def _ask(self, call: Line, target: bytes, wait_s: float) -> None:
         head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (target, self.address[0].encode(), self.address[1])
         async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
             reply = await call.ask(head)
@@ -269,7 +234,7 @@
         call = await self._connect()
         try:
             while True:
-                if call.transport is None or call.transport.is_closing():
+                if not call.is_open:
                     call = await self._connect()
                 if self.index is None:
                     await self._ask(call, LIST, 0.0)
--- a/caperdrift/simhost.py
+++ b/sagetrack/sim/host.py
@@ -10,16 +10,15 @@
 import sys
 from typing import TextIO
 
-from caperdrift.interface import Event, ListedServer, ListKind, ServerList
-from caperdrift.balance import Balancer
-from caperdrift.wire import (
+from sagetrack.decide.interface import Event, ListedServer, ListKind, ServerList
+from sagetrack.decide.balance import Balancer
+from sagetrack.decide.reading import WireError, parse_settings
+from sagetrack.sim.wire import (
     LIST_KINDS,
     PARSERS,
     Fields,
-    WireError,
     format_action,
     parse_server,
-    parse_settings,
     split_line,
 )
 
@@ -47,7 +46,7 @@
                 self.complain(line, str(error))
 
     def complain(self, line: str, why: str) -> None:
-        print(f"caperdrift: line {self.line_number}: {why}: {line[:200]}", file=self.errors, flush=True)
+        print(f"sagetrack: line {self.line_number}: {why}: {line[:200]}", file=self.errors, flush=True)
 
     def read_line(self, line: str) -> None:
         if line == "go":
--- a/caperdrift/wire.py
+++ b/sagetrack/sim/wire.py
@@ -11,50 +11,38 @@
 from __future__ import annotations
 
 import base64
-import json
 from collections.abc import Callable, Mapping
-from typing import Any
 
-from caperdrift.interface import (
+from sagetrack.decide.interface import (
     Action,
     AttemptEnded,
     Cancel,
     CloseIdle,
-    Effect,
     Event,
     Fail,
     FetchList,
-    Goal,
     ListedServer,
     ListKind,
-    LoadReport,
     Log,
     Outcome,
     PeerMessage,
-    Prices,
     Probe,
     Probed,
     Refuse,
-    Reports,
     RequestArrived,
-    RequestClass,
     RequestGone,
-    Scope,
     Send,
     ServerStatus,
     SetTimer,
-    Settings,
     StreamStarted,
     TellPeers,
-    Tenant,
     TimerFired,
     WatchList,
 )
+from sagetrack.decide.reading import WireError, parse_load
 
 Fields = Mapping[str, str]
 
-EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
-SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.GROUP}
 STATUSES = {"Ready": ServerStatus.READY, "Terminating": ServerStatus.DRAINING, "Gone": ServerStatus.GONE}
 LIST_KINDS = {
     "diff": ListKind.DELTA,
@@ -72,25 +60,9 @@
     "444": Outcome.CANCELLED,
     "409": Outcome.MOOT,
 }
-REPORTS = {"piggyback": Reports.ANSWERS, "pull": Reports.PROBES, "silent": Reports.NONE}
-PRICES = {
-    "cross_zone": "crossZone",
-    "handshake": "handshake",
-    "waste": "waste",
-    "late_fail": "lateFail",
-    "connection": "connection",
-    "probe": "probe",
-    "peer": "peer",
-    "list_lines": "membershipMode",
-}
-REPORT_FIELDS = frozenset(LoadReport.__dataclass_fields__)
 TEXT_FIELDS = {"launch": " bootInfo="}
 
 
-class WireError(ValueError):
-    """A line that cannot be read; the message says why."""
-
-
 def split_line(line: str) -> tuple[str, dict[str, str]]:
     """Take a line apart into its message name and its fields."""
     name, _, rest = line.partition(" ")
@@ -109,89 +81,6 @@
     return name, fields
 
 
-def parse_settings(text: str) -> Settings:
-    """Read the settings object of a launch; unknown keys are ignored, missing optional ones have defaults."""
-    try:
-        raw = json.loads(text)
-    except json.JSONDecodeError as error:
-        raise WireError(f"settings are not JSON: {error}") from None
-    if not isinstance(raw, dict):
-        raise WireError("settings are not an object")
-    try:
-        return _settings(raw)
-    except (TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise WireError(f"settings cannot be used: {error}") from None
-
-
-def _settings(raw: dict[str, Any]) -> Settings:
-    caps, contract, goal = raw.get("caps", {}), raw.get("contract", {}), raw.get("objectiveMix", {})
-    prices = raw.get("prices", {})
-    return Settings(
-        classes=tuple(_request_class(lane) for lane in raw.get("lanes", [])),
-        goal=Goal(
-            whole=float(goal.get("whole", 1.0)),
-            worst_window=float(goal.get("worstWindow", 0.0)),
-            worst_class=float(goal.get("worstClass", 0.0)),
-            worst_tenant=float(goal.get("worstTenant", 0.0)),
-        ),
-        worth_by_work=raw.get("worthBy") == "work",
-        proxies=int(raw.get("balancers", 1)),
-        proxy=int(raw.get("index", 0)),
-        zone=int(raw.get("zone", 0)),
-        prices=Prices(**{name: float(prices.get(key, 0.0)) for name, key in PRICES.items()}),
-        tenants=tuple(
-            Tenant(float(t.get("fraction", 0.0)), float(t.get("allowancePerS", "inf")))
-            for t in raw.get("tenants", [])
-        ),
-        over_share_worth=float(raw.get("overShareWorth", 1.0)),
-        marks_retry=bool(raw.get("clients", {}).get("marksRetry", False)),
-        max_attempts=int(caps.get("maxAttempts", 3)),
-        may_cancel=bool(caps.get("mayCancel", False)),
-        second_copies=bool(caps.get("secondCopies", False)),
-        may_probe=bool(caps.get("probes", False)),
-        may_tell_peers=bool(caps.get("peers", False)),
-        reports=REPORTS.get(str(raw.get("report", {}).get("how")), Reports.NONE),
-        attempts_per_connection=int(caps.get("multiplex", 1)),
-        keepalive_us=int(caps.get("keepaliveUs", 60_000_000)),
-        connect_timeout_us=int(caps.get("connectTimeoutUs", 1_000_000)),
-        answer_slack_us=int(contract.get("answerSlackUs", 0)),
-        stop_sending_within_us=int(contract.get("stopSendingWithinUs", 0)),
-        cpu_us_per_s=int(caps.get("cpuUsPerS", 0)),
-        warm_keys=bool(raw.get("familyInfo", {}).get("warmKeys", False)),
-        list_is_pushed=raw.get("membershipMode", "pushed") == "pushed",
-        must_ask_within_us=int(contract.get("mustAskInUs", 10_000_000)),
-        max_retry_after_us=int(caps.get("maxRetryAfterUs", 1_000_000)) if caps.get("retryAfter") else 0,
-        start_capacity=float(contract.get("startCapacity", 1.0)),
-        warm_after_us=int(contract.get("warmAfterUs", 0)),
-        fall_multiple=float(contract.get("tipMultiple", 1.0)),
-        fall_us=int(contract.get("fallUs", 1_000_000)),
-        full_unproven=bool(contract.get("fullUnproven", False)),
-        key_rest_us=int(contract.get("keyQuietUs", 0)),
-    )
-
-
-def _request_class(lane: dict[str, Any]) -> RequestClass:
-    if "giveUpUs" not in lane:
-        raise ValueError("a class has no giveUpUs")
-    effect = str(lane.get("effect", "single_shot"))
-    scope = str(lane.get("group", "all"))
-    if effect not in EFFECTS:
-        raise ValueError(f"effect '{effect}' is unknown")
-    if scope not in SCOPES:
-        raise ValueError(f"group '{scope}' is unknown")
-    return RequestClass(
-        aim_us=int(lane.get("aimUs", lane["giveUpUs"])),
-        give_up_us=int(lane["giveUpUs"]),
-        worth=float(lane.get("value", 1.0)),
-        late_worth=float(lane.get("lateValue", 0.0)),
-        effect=EFFECTS[effect],
-        scope=SCOPES[scope],
-        window_us=int(lane.get("windowUs", 0)),
-        in_order=bool(lane.get("sequential", False)),
-        aim_stretch=float(lane.get("aimStretch", 0.0)),
-    )
-
-
 def parse_server(fields: Fields) -> ListedServer:
     return ListedServer(
         server=int(fields["host"]),
@@ -217,14 +106,6 @@
     )
 
 
-def parse_load(text: str | None) -> LoadReport | None:
-    """The values of a load report that have a meaning here; others are ignored."""
-    if not text or text == "-":
-        return None
-    pairs = (part.partition(":") for part in text.split(","))
-    return LoadReport(**{name: float(value) for name, _, value in pairs if name in REPORT_FIELDS})
-
-
 def parse_outcome(fields: Fields) -> AttemptEnded:
     return AttemptEnded(
         fields["requestId"],
--- a/test.sh
+++ b/test.sh
@@ -11,4 +11,5 @@
 fi
 $python -m ruff check .
 $python -m mypy
+.venv-dev/bin/lint-imports --no-cache
 $python -m pytest
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from caperdrift.interface import (
+from sagetrack.decide.interface import (
     Action,
     AttemptEnded,
     Effect,
@@ -22,7 +22,7 @@
     SetTimer,
     Settings,
 )
-from caperdrift.balance import MINIMUM, Balancer, Breaker, State
+from sagetrack.decide.balance import MINIMUM, Balancer, Breaker, State
 
 SAFE = RequestClass(aim_us=200_000, give_up_us=400_000, worth=3.0, late_worth=0.2, effect=Effect.SAFE)
 KEYED = RequestClass(
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,9 +12,10 @@
 
 import uvloop
 
-from cloverkeel.config import parse, stable_id
-from cloverkeel.gateway import Gateway
-from cloverkeel.server import Server
+from sagetrack.config.platform import parse, stable_id
+from sagetrack.http.front import Server
+from sagetrack.http.gateway import Gateway
+from sagetrack.ops.instance import Instance
 
 PATIENCE_S = 30.0  # for anything that should happen: how long a broken test takes, never how long a good one
 
@@ -194,6 +195,7 @@
 class Running:
     """The gateway in this process, listening on a port of its own."""
 
+    instance: Instance
     gateway: Gateway
     server: Server
     port: int
@@ -231,15 +233,14 @@
 @asynccontextmanager
 async def running(config: dict[str, Any]) -> AsyncIterator[Running]:
     parsed = parse(config)
-    gateway = Gateway(parsed)
-    server = Server(parsed, gateway)
-    await server.start()
+    instance = Instance(parsed)
+    await instance.start()
+    server = instance.server
     assert server.listener is not None
     try:
-        yield Running(gateway, server, server.listener.getsockname()[1])
+        yield Running(instance, instance.gateway, server, server.listener.getsockname()[1])
     finally:
-        server.close()
-        gateway.close()
+        instance.close()
 
 
 _count = 0
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from caperdrift.interface import Outcome
-from cloverkeel import admin as admin_module
-from cloverkeel.admin import CALLERS, LINE_LIMIT, Admin
-from cloverkeel.metrics import Metrics
+from sagetrack.decide.interface import Outcome
+from sagetrack.ops import admin as admin_module
+from sagetrack.ops.admin import CALLERS, LINE_LIMIT, Admin
+from sagetrack.core.metrics import Metrics
 from tests.helpers import Driver, sends, trip
 from tests.sockets import (
     Running,
@@ -217,4 +217,4 @@
         process = await start({"LB_CONFIG": str(file), "LB_ADMIN": host.address})
         _, errors = await process.communicate()
         assert process.returncode == 1 and errors.count(b"\n") == 1
-        assert errors.startswith(f"cloverkeel: cannot listen on {host.address}".encode())
+        assert errors.startswith(f"sagetrack: cannot listen on {host.address}".encode())
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from caperdrift.interface import AttemptEnded, AttemptWritten, Outcome, RequestArrived, StreamStarted
-from cloverkeel import requests as requests_module
-from cloverkeel import server as server_module
-from cloverkeel.bodies import HIGH, LEAST, Allowance, Upload
+from sagetrack.decide.interface import AttemptEnded, AttemptWritten, Outcome, RequestArrived, StreamStarted
+from sagetrack.http import requests as requests_module
+from sagetrack.http import front as server_module
+from sagetrack.core.bodies import HIGH, LEAST, Allowance, Upload
 from tests.helpers import KEYED, SETTINGS, Driver, finals, sends
 from tests.sockets import (
     Client,
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -3,8 +3,8 @@
 import random
 
 from tests.helpers import Driver, sends, trip
-from caperdrift.interface import ListedServer, ListKind, Outcome, RequestGone
-from caperdrift.balance import (
+from sagetrack.decide.interface import ListedServer, ListKind, Outcome, RequestGone
+from sagetrack.decide.balance import (
     CEILING,
     CHEAP_RETRY,
     COOLDOWN_US,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cloverkeel.drain import FIRST_REQUEST_S, LEAVE_QUIET_S, STANDBY_QUIET_S, Drain, Phase
+from sagetrack.core.drain import FIRST_REQUEST_S, LEAVE_QUIET_S, STANDBY_QUIET_S, Drain, Phase
 
 
 def test_a_drain_goes_on_and_off_and_repeats_do_no_harm() -> None:
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cloverkeel.config import stable_id
+from sagetrack.config.platform import stable_id
 from tests.sockets import (
     answers,
     configuration,
@@ -22,7 +22,7 @@
 
 @on_loop
 async def test_the_module_is_told_what_the_headers_say() -> None:
-    from caperdrift.interface import RequestArrived
+    from sagetrack.decide.interface import RequestArrived
 
     async with peer() as host, running(configuration(host)) as run:
         told: list[RequestArrived] = []
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from caperdrift.interface import FetchList, ListKind, ServerList, WatchList
+from sagetrack.decide.interface import FetchList, ListKind, ServerList, WatchList
 from tests.sockets import (
     Exchange,
     Peer,
@@ -85,7 +85,7 @@
         told = lists(run)
         run.gateway.carry_out(WatchList(False))
         await until(lambda: registry.ended == 1)
-        assert not told and run.gateway.discovery.watching is None
+        assert not told and run.instance.discovery.watching is None
 
 
 @on_loop
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cloverkeel import server as server_module
+from sagetrack.http import front as server_module
 from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
 from tests.test_gateway_process import connect, program
 
@@ -208,7 +208,7 @@
     """It ends before a deadline of 20 s, or the 3.6 s that it may take, has to be waited out."""
     import signal
 
-    from cloverkeel.drain import LEAVE_UNFINISHED_S
+    from sagetrack.core.drain import LEAVE_UNFINISHED_S
 
     async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
         begun, held = await connect(port), await connect(port)
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -4,12 +4,12 @@
 
 import asyncio
 
-from caperdrift.interface import ListKind, Outcome
-from cloverkeel.clock import now_us
-from cloverkeel.config import parse
-from cloverkeel.discovery import parse_list
-from cloverkeel.hosts import Attempt, HostConnection
-from cloverkeel.http1 import Reply
+from sagetrack.decide.interface import ListKind, Outcome
+from sagetrack.core.clock import now_us
+from sagetrack.config.platform import parse
+from sagetrack.roster.discovery import parse_list
+from sagetrack.http.back import Attempt, HostConnection
+from sagetrack.core.calls import Reply
 from tests.sockets import (
     Exchange,
     Running,
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -33,7 +33,7 @@
 
 async def start(environment: dict[str, str]) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cloverkeel", cwd=ROOT, env=os.environ | environment,
+        sys.executable, "-m", "sagetrack", cwd=ROOT, env=os.environ | environment,
         stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
 
@@ -190,7 +190,7 @@
 async def test_no_configuration_is_one_line_and_2() -> None:
     process = await start({"LB_CONFIG": ""})
     _, errors = await process.communicate()
-    assert process.returncode == 2 and errors == b"cloverkeel: LB_CONFIG is not set\n"
+    assert process.returncode == 2 and errors == b"sagetrack: LB_CONFIG is not set\n"
 
 
 @on_loop
@@ -200,7 +200,7 @@
         file.write_text(json.dumps(configuration(host) | {"listen": host.address}))
         process = await start({"LB_CONFIG": str(file)})
         _, errors = await process.communicate()
-        assert process.returncode == 1 and errors.startswith(b"cloverkeel: cannot listen on ")
+        assert process.returncode == 1 and errors.startswith(b"sagetrack: cannot listen on ")
         assert errors.count(b"\n") == 1
 
 
--- a/tests/test_gateway_upgrade.py
+++ b/tests/test_gateway_upgrade.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from cloverkeel.overlap import LIST, Overlap
+from sagetrack.ops.overlap import LIST, Overlap
 from tests.sockets import (
     configuration,
     endpoint,
@@ -39,7 +39,7 @@
     descriptor = listener.fileno()
     names = {"LB_CONFIG": str(file), "LB_ACCEPT_FD": str(descriptor), "TMPDIR": str(folder)}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cloverkeel", cwd=ROOT, env=os.environ | names, pass_fds=[descriptor],
+        sys.executable, "-m", "sagetrack", cwd=ROOT, env=os.environ | names, pass_fds=[descriptor],
         stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL,
     )  # fmt: skip
 
@@ -90,13 +90,13 @@
         known = {"file": plain.fileno(), "unbound": unbound.fileno()}
         number = str(known.get(value, value))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cloverkeel", cwd=ROOT, pass_fds=list(known.values()),
+            sys.executable, "-m", "sagetrack", cwd=ROOT, pass_fds=list(known.values()),
             env=os.environ | {"LB_CONFIG": str(file), "LB_ACCEPT_FD": number, "TMPDIR": str(tmp_path)},
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         _, errors = await process.communicate()
     assert process.returncode == 2
-    assert errors.count(b"\n") == 1 and errors.startswith(b"cloverkeel: LB_ACCEPT_FD ")
+    assert errors.count(b"\n") == 1 and errors.startswith(b"sagetrack: LB_ACCEPT_FD ")
 
 
 def test_what_is_left_in_the_folder_says_nothing(tmp_path: Path) -> None:
@@ -163,8 +163,8 @@
         config["settings"]["membershipMode"] = "on_request"
         async with running(config) as run:
             kept: list[dict[str, object]] = []
-            run.gateway.discovery.on_news = lambda address, known: kept.append(known)
-            run.gateway.discovery.watch(True)
+            run.instance.discovery.on_news = lambda address, known: kept.append(known)
+            run.instance.discovery.watch(True)
             await until(lambda: len(kept) == 2)
             assert kept[0] == hosts_list(
                 8, endpoint("s-0", "127.0.0.1:1"), endpoint("s-1", "127.0.0.1:1", status="DRAINING")
@@ -189,7 +189,7 @@
 
 
 def test_cold_servers_get_from_two_processes_what_one_may_send() -> None:
-    from caperdrift.interface import Sharing
+    from sagetrack.decide.interface import Sharing
     from tests.helpers import Driver
 
     driver = Driver()
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-from caperdrift.interface import Send
+from sagetrack.decide.interface import Send
 
 
 def test_the_example_runs() -> None:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE, Driver, finals, sends, timers, trip
-from caperdrift.interface import (
+from sagetrack.decide.interface import (
     Cancel,
     Fail,
     ListedServer,
@@ -28,7 +28,7 @@
     TimerFired,
     WatchList,
 )
-from caperdrift.balance import (
+from sagetrack.decide.balance import (
     COOLDOWN_US,
     LOG_GAP_US,
     MINIMUM,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 
 from tests.helpers import SAFE, START_US, UNSAFE
 from tests.helpers import SETTINGS as PLAIN
-from caperdrift.interface import (
+from sagetrack.decide.interface import (
     NEVER_RAN,
     Action,
     AttemptEnded,
@@ -32,7 +32,7 @@
     Settings,
     TimerFired,
 )
-from caperdrift.balance import Balancer
+from sagetrack.decide.balance import Balancer
 
 GROUP = {n: n // 3 for n in range(6)}
 ORDERED = replace(UNSAFE, in_order=True)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from caperdrift.interface import (
+from sagetrack.decide.interface import (
     AttemptEnded,
     Cancel,
     CloseIdle,
@@ -40,16 +40,15 @@
     TimerFired,
     WatchList,
 )
-from caperdrift.wire import (
+from sagetrack.decide.reading import WireError, parse_settings
+from sagetrack.sim.wire import (
     OUTCOMES,
     PARSERS,
-    WireError,
     format_action,
     parse_server,
-    parse_settings,
     split_line,
 )
-from caperdrift.simhost import Host
+from sagetrack.sim.host import Host
 
 LANES = [
     {"aimUs": 100_000, "giveUpUs": 400_000, "effect": "free", "value": 3.0},
@@ -269,7 +268,7 @@
     text = "\n".join(script) + "\n"
     outputs = [
         subprocess.run(
-            [sys.executable, "-B", "-m", "caperdrift.simhost"],
+            [sys.executable, "-B", "-m", "sagetrack.sim.host"],
             input=text,
             capture_output=True,
             text=True,
@@ -302,7 +301,7 @@
                 lines.append(f"dropped requestId=t/{i}x{step - 2}")
         lines.append("go")
     result = subprocess.run(
-        [sys.executable, "-B", "-m", "caperdrift.simhost"],
+        [sys.executable, "-B", "-m", "sagetrack.sim.host"],
         input="\n".join(lines) + "\n",
         capture_output=True,
         text=True,
