Read the operator's own file, and name every fault of a file by line and key

Need: nothing could be switched on by an installation; what the platform's configuration had wrong came out one fault at a time, without a line.

Change: config/checked decodes TOML and JSON into msgspec structures; what is faulty is set aside and the rest decoded again, so one run names all, each with file, line, key and what is allowed. config/operator is the operator's file ($LB_OPERATOR), of which [log] is the first part: structlog's JSON or console lines with fixed fields, by level. config/check does the same for the platform's configuration. Without the file none of these libraries is loaded.

--- a/sagetrack/core/log.py
+++ b/sagetrack/core/log.py
@@ -47,6 +47,17 @@
         return held
 
 
+def levels_from(least: str, sink: Sink) -> Sink:
+    """The same sink for this level and those above it."""
+    admitted = LEVELS[LEVELS.index(least) :]
+
+    def write(level: str, event: str, fields: dict[str, object]) -> None:
+        if level in admitted:
+            sink(level, event, fields)
+
+    return write
+
+
 def plain(level: str, event: str, fields: dict[str, object]) -> None:
     """One line on standard error, as the platform keeps it."""
     named = "".join(f" {name}={value}" for name, value in fields.items())
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -12,7 +12,27 @@
     os._exit(0)
 
 
+def _take_operators(path: str, gateway: str) -> bool:
+    """Do as the operator's file says; False, and a line for each fault, if it cannot be used."""
+    from sagetrack.config.checked import FileError
+    from sagetrack.config.operator import load
+
+    try:
+        operator = load(path)
+    except FileError as error:
+        for fault in error.faults:
+            print(f"sagetrack: {fault}", file=sys.stderr)
+        return False
+    log = operator.log
+    if log.format != "plain":
+        from sagetrack.core.structured import switch_on
+
+        switch_on(log.format, log.level, gateway, log.burst, log.rate)
+    return True
+
+
 def main() -> int:
+    """Run one gateway as the environment says; returns the exit status."""
     early: list[int] = []  # SIGHUP before the loop runs: the file may have been read by then
     signal.signal(signal.SIGHUP, lambda signum, frame: early.append(signum))
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -25,6 +45,9 @@
     except ConfigError as error:
         print(f"sagetrack: {error}", file=sys.stderr)
         return 2
+    operators = os.environ.get("LB_OPERATOR")
+    if operators and not _take_operators(operators, config.name):
+        return 2
 
     import asyncio
     import gc
--- /dev/null
+++ b/tests/test_checked.py
@@ -0,0 +1,100 @@
+"""Files into structures: every fault in one go, each with file, line, key and what is allowed."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sagetrack.config.check import check
+from sagetrack.config.checked import FileError, json_lines, read, toml_lines
+from sagetrack.config.operator import Operator, load
+from tests.sockets import configuration
+
+
+class Item(msgspec.Struct, forbid_unknown_fields=True):
+    name: str
+    size: Annotated[int, msgspec.Meta(ge=1, le=9)] = 1
+
+
+class Whole(msgspec.Struct, forbid_unknown_fields=True):
+    kind: Literal["a", "b"] = "a"
+    item: list[Item] = []
+    pair: tuple[float, float] = (0.0, 1.0)
+
+
+def faults(path: Path, text: str, type_: type = Whole) -> list[str]:
+    path.write_text(text)
+    with pytest.raises(FileError) as caught:
+        read(path, type_)
+    return [fault.removeprefix(f"{path}:") for fault in caught.value.faults]
+
+
+def test_all_faults_are_named_with_line_key_and_what_is_allowed(tmp_path: Path) -> None:
+    text = 'kind = "c"\n\n[[item]]\nname = "x"\nsize = 12\n\n[[item]]\nnme = "y"\nname = "z"\n\n[extra]\n'
+    assert faults(tmp_path / "f.toml", text) == [
+        '1: kind = "c" is not allowed; it is one of a, b',
+        "5: item[1].size = 12 is not allowed; it is a whole number from 1 to 9",
+        "8: item[2].nme is unknown; allowed are name, size",
+        "11: extra is unknown; allowed are kind, item, pair",
+    ]
+
+
+def test_what_is_missing_is_named(tmp_path: Path) -> None:
+    assert faults(tmp_path / "f.toml", "[[item]]\nsize = 2\n") == ["1: item[1].name is missing; it is a text"]
+
+
+@pytest.mark.parametrize("text", ["kind = ", "[a\n", "x = 1\nx = 2\n"])
+def test_what_is_no_toml_is_one_line(tmp_path: Path, text: str) -> None:
+    (fault,) = faults(tmp_path / "f.toml", text)
+    assert "not TOML" in fault
+
+
+def test_a_file_that_is_not_there(tmp_path: Path) -> None:
+    with pytest.raises(FileError, match="No such file"):
+        read(tmp_path / "none.toml", Whole)
+
+
+def test_lines_of_json() -> None:
+    lines = json_lines('{\n "a": [\n  {"b": 1},\n  {"b": 2}\n ],\n "c": {"d": [1,\n 2]}\n}')
+    assert lines["a",] == 2 and lines["a", 1, "b"] == 4 and lines["c", "d", 1] == 7
+
+
+@given(st.text(alphabet='ab.[]{}="#,: \n01', max_size=80))
+def test_no_text_breaks_the_scans_for_lines(text: str) -> None:
+    toml_lines(text)
+    json_lines(text)
+
+
+def test_the_example_for_operators_sets_nothing_and_can_be_switched_on(tmp_path: Path) -> None:
+    example = Path(__file__).parent.parent / "deploy" / "operator.toml"
+    assert load(str(example)) == Operator()
+    lines = example.read_text().splitlines()
+    first = lines.index("# [log]")
+    switched = tmp_path / "all.toml"
+    switched.write_text("\n".join(line.removeprefix("# ") for line in lines[first:]))
+    assert load(str(switched)) == Operator()
+
+
+def test_a_platform_configuration_is_checked_whole(tmp_path: Path) -> None:
+    good = configuration("127.0.0.1:1")
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(good))
+    check(str(path), {})
+    bad = configuration("127.0.0.1:1")
+    bad["listen"] = "nowhere"
+    bad["settings"]["lanes"][1]["effect"] = "maybe"
+    bad["settings"]["lanes"][2]["giveUpUs"] = 0
+    path.write_text(json.dumps(bad, indent=1))
+    with pytest.raises(FileError) as caught:
+        check(str(path), {})
+    text = path.read_text().splitlines()
+    assert len(caught.value.faults) == 3
+    for fault, key in zip(caught.value.faults, ("listen", "effect", "giveUpUs"), strict=True):
+        line = int(fault.removeprefix(f"{path}:").split(":")[0])
+        assert f'"{key}"' in text[line - 1] and key in fault
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,52 @@
+"""The log: one plain line, or structured ones; each event bounded in rate."""
+
+from __future__ import annotations
+
+import io
+import json
+from collections.abc import Iterator
+
+import pytest
+
+from sagetrack.core import log as module
+from sagetrack.core.log import Bound, log, use
+from sagetrack.core.structured import sink
+
+
+@pytest.fixture(autouse=True)
+def restored() -> Iterator[None]:
+    use(module.plain)
+    yield
+    use(module.plain)
+
+
+def test_a_flood_of_one_event_hides_no_other_and_is_counted() -> None:
+    bound = Bound(burst=3, rate=1)
+    assert [bound.admit("flood", 0.0) for _ in range(5)] == [0, 0, 0, -1, -1]
+    assert bound.admit("other", 0.0) == 0
+    assert bound.admit("flood", 1.0) == 2
+
+
+def test_endless_kinds_of_events_share_one_bound() -> None:
+    bound = Bound(burst=1, rate=0.001)
+    passed = sum(bound.admit(f"event {number}", 0.0) >= 0 for number in range(10_000))
+    assert passed <= module.EVENTS + 1 and len(bound.buckets) <= module.EVENTS + 1
+
+
+def test_json_lines_carry_the_fields_by_their_names() -> None:
+    out = io.StringIO()
+    use(sink("json", "info", "g1", out))
+    log("refused", server="s-1", call="c", class_="lookup", member="acme")
+    log("hidden", level="debug")
+    (line,) = out.getvalue().splitlines()
+    row = json.loads(line)
+    assert row.pop("timestamp").endswith("Z")
+    assert row == {
+        "event": "refused", "level": "info", "gateway": "g1", "server": "s-1", "call": "c", "class": "lookup",
+        "member": "acme",
+    }  # fmt: skip
+
+
+def test_the_plain_line_is_as_it_was(capsys: pytest.CaptureFixture[str]) -> None:
+    log("ends; connections to hosts: 3")
+    assert capsys.readouterr().err == "sagetrack: ends; connections to hosts: 3\n"
