Add the lab: a fleet played in real and in virtual time, judged from records

Change: sagetrack/lab is one model of servers, roster, clients and 15 kinds of trouble with two drivers: real gateway processes over loopback sockets, and decision modules on a simulated clock. The command line (typer) has run, check, demo, lab and version; ./run.sh makes its environment.

--- a/sagetrack/cli/app.py
+++ b/sagetrack/cli/app.py
@@ -4,7 +4,39 @@
 
 import sys
 
+import typer
+
+from sagetrack import __version__
+from sagetrack.cli import check, demo, lab, run
+
+app = typer.Typer(
+    help="A gateway for fleets of servers, and a lab that plays such a fleet on this machine.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+app.command("run")(run.run)
+app.command("check")(check.check)
+app.command("demo")(demo.demo)
+app.add_typer(lab.app, name="lab")
+
+
+@app.command("version")
+def version() -> None:
+    """Print the version."""
+    print(__version__)
+
 
 def main() -> int:
-    print("sagetrack: no commands yet", file=sys.stderr)
-    return 2
+    """Run the command that the arguments name; returns the exit status."""
+    from sagetrack.config.checked import FileError
+
+    try:
+        app(prog_name="sagetrack", standalone_mode=True)
+    except FileError as error:
+        for fault in error.faults:
+            print(f"sagetrack: {fault}", file=sys.stderr)
+        return 2
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
--- /dev/null
+++ b/sagetrack/cli/check.py
@@ -0,0 +1,42 @@
+"""`sagetrack check`: everything that is wrong with the configurations, before anything runs."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+from typing import Annotated
+
+import typer
+
+
+def check(
+    config: Annotated[str, typer.Option(help="the platform's configuration; else $LB_CONFIG")] = "",
+    operator: Annotated[str, typer.Option(help="the operator's own file; else $LB_OPERATOR")] = "",
+    scenario: Annotated[list[str] | None, typer.Argument(help="scenarios of the lab")] = None,
+) -> None:
+    """Say all that is wrong with files, a line each with file, line and key; exit 2 if anything is."""
+    from sagetrack.config.check import check as check_platform
+    from sagetrack.config.checked import FileError
+    from sagetrack.config.operator import load
+    from sagetrack.lab.scenario import load as load_scenario
+
+    config = config or os.environ.get("LB_CONFIG", "")
+    operator = operator or os.environ.get("LB_OPERATOR", "")
+    checks: list[tuple[str, Callable[[str], object]]] = []
+    checks += [(config, check_platform)] if config else []
+    checks += [(operator, load)] if operator else []
+    checks += [(path, load_scenario) for path in scenario or []]
+    if not checks:
+        print("sagetrack: nothing to check: name --config, --operator or scenarios", file=sys.stderr)
+        raise typer.Exit(2)
+    faults: list[str] = []
+    for path, examine in checks:
+        try:
+            examine(path)
+            print(f"{path}: fine")
+        except FileError as error:
+            faults += error.faults
+    for fault in faults:
+        print(f"sagetrack: {fault}", file=sys.stderr)
+    raise typer.Exit(2 if faults else 0)
--- /dev/null
+++ b/sagetrack/cli/lab.py
@@ -0,0 +1,334 @@
+"""`sagetrack lab …`: scenarios played, swept over, compared, drawn; what a request costs."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+if TYPE_CHECKING:
+    from sagetrack.lab.figures import Figures
+    from sagetrack.lab.judges import Violation
+    from sagetrack.lab.records import Records
+    from sagetrack.lab.scenario import Scenario
+
+app = typer.Typer(
+    help="Play a whole fleet on this machine, in real or in virtual time.", no_args_is_help=True
+)
+
+INTERRUPTED = 130
+SHOWN = 10  # violations that are printed
+
+SetOption = Annotated[
+    list[str] | None, typer.Option("--set", help="another value, as in load.use=0.7; may be given again")
+]
+
+
+def fail(line: str) -> typer.Exit:
+    """Say in one line why a command cannot go on; exit 2."""
+    print(f"sagetrack: {line}", file=sys.stderr)
+    return typer.Exit(2)
+
+
+def value_of(text: str) -> Any:
+    """A value as TOML writes it; anything else is a text."""
+    import tomllib
+
+    try:
+        return tomllib.loads(f"v = {text}")["v"]
+    except tomllib.TOMLDecodeError:
+        return text
+
+
+def settings_of(pairs: list[str] | None) -> dict[str, str]:
+    found = {}
+    for pair in pairs or []:
+        name, mark, value = pair.partition("=")
+        if not mark or not name:
+            raise fail(f"--set {pair}: the form is key=value, as in load.use=0.7")
+        found[name.strip()] = value.strip()
+    return found
+
+
+@contextmanager
+def bar(what: str, quiet: bool) -> Iterator[Callable[[float], None]]:
+    """A progress bar on standard error, where that is a terminal."""
+    if quiet or not sys.stderr.isatty():
+        yield lambda share: None
+        return
+    from rich.console import Console
+    from rich.progress import BarColumn, Progress, TaskProgressColumn, TextColumn, TimeRemainingColumn
+
+    columns = (TextColumn(what), BarColumn(), TaskProgressColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task(what, total=1.0)
+        yield lambda share: progress.update(task, completed=share)
+
+
+def scenario_from(path: str, settings: list[str] | None) -> Scenario:
+    from sagetrack.lab.scenario import altered, load
+
+    scenario = load(path)
+    chosen = {name: value_of(value) for name, value in settings_of(settings).items()}
+    return altered(scenario, chosen) if chosen else scenario
+
+
+@app.command("list")
+def list_scenarios(folder: Annotated[str, typer.Argument(help="where they lie")] = "") -> None:
+    """Scenarios, a line each."""
+    from sagetrack.lab.scenario import load
+
+    place = Path(folder) if folder else Path(__file__).resolve().parent.parent.parent / "scenarios"
+    paths = sorted(place.glob("*.toml"))
+    if not paths:
+        raise fail(f"{place}: no scenarios there")
+    for path in paths:
+        print(f"{path.stem:16} {load(path).about}")
+
+
+@app.command("run")
+def run(
+    scenario: Annotated[str, typer.Argument(help="a scenario's file")],
+    virtual: Annotated[bool, typer.Option("--virtual", help="on a simulated clock, without sockets")] = False,
+    seed: Annotated[int, typer.Option(help="what random figures follow from", min=0)] = 1,
+    as_json: Annotated[bool, typer.Option("--json", help="one JSON object as the last line")] = False,
+    settings: SetOption = None,
+    records_file: Annotated[
+        str, typer.Option("--records", help="write all records here (.jsonl or .gz)")
+    ] = "",
+    plot: Annotated[str, typer.Option(help="draw the run here (.png or .svg)")] = "",
+    fault: Annotated[str, typer.Option(help="a deliberate fault of the gateways; with --virtual")] = "",
+) -> None:
+    """Play a scenario and judge it; exit 0 only if no rule is broken and every expectation holds."""
+    from sagetrack.lab.faults import FAULTS
+    from sagetrack.lab.figures import figures
+    from sagetrack.lab.judges import judge
+
+    played = scenario_from(scenario, settings)
+    if fault and fault not in FAULTS:
+        raise fail(f"--fault {fault}: allowed are {', '.join(FAULTS)}")
+    if fault and not virtual:
+        raise fail("--fault needs --virtual")
+    sample_s = 0.25 if plot else 0.0
+    try:
+        if virtual:
+            from sagetrack.lab.virtual import play as play_virtual
+
+            with bar(played.name, as_json) as tell:
+                records: Records = play_virtual(played, seed, tell, sample_s, fault)
+        else:
+            records = play_real(played, seed, as_json, sample_s)
+    except KeyboardInterrupt:
+        print("sagetrack: ended; nothing is left running", file=sys.stderr)
+        raise typer.Exit(INTERRUPTED) from None
+    violations = judge(records, played)
+    made = figures(records, played, violations)
+    try:
+        if records_file:
+            records.write(records_file)
+        if plot:
+            from sagetrack.lab.plots import draw
+
+            draw(records, plot)
+    except (OSError, ValueError) as error:
+        raise fail(f"the run is played, but cannot be written: {error}") from None
+    if as_json:
+        header = {name: records.header[name] for name in ("scenario", "seed", "driver")}
+        extra = {k: v for k, v in records.header.items() if k.startswith("gateway_")}
+        shown = [str(violation) for violation in violations[:SHOWN]]
+        print(json.dumps({**header, **made.plain(), **extra, "violations": shown}))
+    else:
+        show(played, made, violations, records)
+    raise typer.Exit(0 if not violations and made.expect_held and not made.late else 1)
+
+
+def play_real(scenario: Scenario, seed: int, quiet: bool, sample_s: float) -> Records:
+    """Play in real time behind a bar; one plain line and exit 2 if the lab cannot."""
+    from sagetrack.lab.real import LabError, play
+
+    try:
+        with bar(scenario.name, quiet) as tell:
+            return play(scenario, seed, lambda share, world: tell(share), sample_s)
+    except LabError as error:
+        raise fail(str(error)) from None
+
+
+def show(scenario: Scenario, made: Figures, violations: list[Violation], records: Records) -> None:
+    """The figures for people."""
+    from rich.console import Console
+    from rich.table import Table
+
+    out = Console()
+    table = Table(title=f"{scenario.name}, seed {records.header['seed']}, {records.header['driver']} time")
+    for column in ("", "service"):
+        table.add_column(column, justify="right" if column else "left")
+    table.add_row("all", f"{made.service:.3f}")
+    for name, share in made.by_class.items():
+        table.add_row(f"class {name}", f"{share:.3f}")
+    for name, share in made.by_member.items():
+        table.add_row(f"member {name}", f"{share:.3f}")
+    table.add_row("worst 5 s", f"{made.worst_window:.3f}")
+    out.print(table)
+    for violation in violations[:SHOWN]:
+        out.print(f"[red]broken[/red] {violation}", highlight=False)
+    if len(violations) > SHOWN:
+        out.print(f"and {len(violations) - SHOWN} more")
+    for words in made.expect_missed:
+        out.print(f"[red]missed[/red] {words}", highlight=False)
+    if made.late:
+        out.print("[red]late[/red] the load ran late: this run is not to be scored", highlight=False)
+    print(verdict(made))
+
+
+def verdict(made: Figures) -> str:
+    """A run in one line."""
+    broken = sum(made.rules_broken.values())
+    held = "expectations held" if made.expect_held else "expectations missed"
+    return (
+        f"{made.requests} calls: {made.served} served, {made.too_late} too late, {made.refused} refused, "
+        f"{made.failed + made.unanswered} failed; p50 {made.p50_ms:.0f} ms, p99 {made.p99_ms:.0f} ms; "
+        f"{broken} rules broken; {held}"
+    )
+
+
+@app.command("sweep")
+def sweep(
+    scenario: Annotated[list[str], typer.Argument(help="scenarios' files")],
+    out: Annotated[str, typer.Option(help="results, a JSON line for each run; goes on where it stopped")],
+    seeds: Annotated[str, typer.Option(help="how many, from 1; or FIRST-LAST")] = "10",
+    settings: Annotated[
+        list[str] | None,
+        typer.Option("--set", help="values to try, as in load.use=0.5,0.7; all combinations"),
+    ] = None,
+    workers: Annotated[int, typer.Option(help="processes; 0: one a core", min=0)] = 0,
+    fault: Annotated[str, typer.Option(help="a deliberate fault of the gateways")] = "",
+) -> None:
+    """Play scenarios over seeds and settings in virtual time, on all cores."""
+    from sagetrack.lab import sweep as sweeps
+    from sagetrack.lab.scenario import load
+
+    first, mark, last = seeds.partition("-")
+    try:
+        numbers = range(int(first), int(last) + 1) if mark else range(1, int(first) + 1)
+    except ValueError:
+        raise fail(f"--seeds {seeds}: the form is 10 or 3-12") from None
+    if not numbers:
+        raise fail(f"--seeds {seeds}: there are none")
+    values = {name: [value_of(v) for v in text.split(",")] for name, text in settings_of(settings).items()}
+    jobs = [job for path in scenario for job in sweeps.plan(load(path), numbers, values, fault)]
+    try:
+        with bar("sweep", False) as tell:
+            rows = sweeps.sweep(
+                jobs, Path(out), workers or len(os.sched_getaffinity(0)), lambda at, of: tell(at / max(1, of))
+            )
+    except KeyboardInterrupt:
+        print(
+            f"sagetrack: ended; what was played stands in {out}, and the same call goes on", file=sys.stderr
+        )
+        raise typer.Exit(INTERRUPTED) from None
+    except OSError as error:
+        raise fail(f"{out}: {error.strerror}") from None
+    groups: dict[str, list[dict[str, Any]]] = {}
+    for row in rows:
+        chosen = " ".join(f"{name}={value}" for name, value in row["settings"].items())
+        groups.setdefault(f"{row['scenario']} {chosen}".strip(), []).append(row)
+    broken = 0
+    for name, mine in groups.items():
+        service = [row["service"] for row in mine]
+        rules = sum(sum(row["rules_broken"].values()) for row in mine)
+        held = sum(row["expect_held"] for row in mine)
+        broken += rules
+        print(
+            f"{name}: {len(mine)} runs, service {sum(service) / len(service):.4f} "
+            f"({min(service):.4f} to {max(service):.4f}), {rules} rules broken, expectations held in {held}"
+        )
+    raise typer.Exit(1 if broken else 0)
+
+
+@app.command("compare")
+def compare(
+    a: Annotated[str, typer.Argument(help="results of a sweep")],
+    b: Annotated[str, typer.Argument(help="results of another, with seeds in common")],
+    figure: Annotated[str, typer.Option(help="which figure")] = "service",
+) -> None:
+    """Compare two sweeps by pairs of one seed, with a 95% confidence interval."""
+    from sagetrack.lab.sweep import compare as compare_files
+
+    try:
+        found = compare_files(Path(a), Path(b), figure)
+    except (OSError, ValueError) as error:
+        raise fail(str(error)) from None
+    word = "clear" if found.is_clear else "within the noise"
+    print(
+        f"{found.figure}: A {found.mean_a:.4f}, B {found.mean_b:.4f}, B - A {found.difference:+.4f} "
+        f"± {found.half_width:.4f} over {found.pairs} pairs ({found.better} with B larger): {word}"
+    )
+
+
+@app.command("throughput")
+def throughput(
+    servers: Annotated[str, typer.Option(help="numbers of servers")] = "8,64,400",
+    seconds: Annotated[float, typer.Option(help="of each measurement", min=0.5, max=600)] = 3.0,
+    rounds: Annotated[int, typer.Option(help="of each, by turns", min=1, max=100)] = 3,
+    build: Annotated[
+        list[str] | None, typer.Option(help="another checkout to measure beside this one; may be given again")
+    ] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="one JSON array as the last line")] = False,
+) -> None:
+    """Measure what a request costs on one core, against a bare relay on the same core in the same run."""
+    from sagetrack.lab.real import ROOT, LabError
+    from sagetrack.lab.throughput import measure, summary
+
+    try:
+        sizes = [int(size) for size in servers.split(",")]
+    except ValueError:
+        raise fail(f"--servers {servers}: the form is 8,64,400") from None
+    if not sizes or min(sizes) < 1 or max(sizes) > 5000:
+        raise fail(f"--servers {servers}: each is from 1 to 5000")
+    builds = [ROOT, *(Path(path).resolve() for path in build or [])]
+    for path in builds:
+        if not any((path / name).is_dir() for name in ("sagetrack", "cloverkeel")):
+            raise fail(f"--build {path}: no gateway there")
+    try:
+        with bar("throughput", as_json) as tell:
+            rows = summary(measure(sizes, seconds, rounds, builds, lambda at, of: tell(at / of)))
+    except LabError as error:
+        raise fail(str(error)) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    if as_json:
+        print(json.dumps(rows))
+    else:
+        from rich.console import Console
+        from rich.table import Table
+
+        table = Table(title=f"one core, {rounds} rounds of {seconds:g} s")
+        for name in rows[0]:
+            table.add_column(name.replace("_", " "), justify="left" if name == "what" else "right")
+        for row in rows:
+            name = Path(row["what"]).name if row["what"] != "relay" else "relay"
+            table.add_row(name, *(str(value) for key, value in row.items() if key != "what"))
+        Console().print(table)
+    raise typer.Exit(1 if any(row["late"] for row in rows) else 0)
+
+
+@app.command("plot")
+def plot(
+    records_file: Annotated[str, typer.Argument(help="records that `lab run --records` wrote")],
+    out: Annotated[str, typer.Argument(help="a .png or .svg")],
+) -> None:
+    """Draw a run from its records."""
+    from sagetrack.lab.plots import draw
+    from sagetrack.lab.records import read
+
+    try:
+        draw(read(records_file), out)
+    except (OSError, ValueError) as error:
+        raise fail(str(error)) from None
+    print(out)
--- /dev/null
+++ b/sagetrack/cli/run.py
@@ -0,0 +1,22 @@
+"""`sagetrack run`: one gateway, by its configuration and the operator's file."""
+
+from __future__ import annotations
+
+import os
+from typing import Annotated
+
+import typer
+
+
+def run(
+    config: Annotated[str, typer.Option(help="the platform's configuration; else $LB_CONFIG")] = "",
+    operator: Annotated[str, typer.Option(help="the operator's own file; else $LB_OPERATOR")] = "",
+) -> None:
+    """Run one gateway until it is told to end."""
+    from sagetrack.ops.process import main
+
+    if config:
+        os.environ["LB_CONFIG"] = config
+    if operator:
+        os.environ["LB_OPERATOR"] = operator
+    raise typer.Exit(main())
--- /dev/null
+++ b/sagetrack/lab/faults.py
@@ -0,0 +1,161 @@
+"""Deliberate faults of a gateway, to show that the judges catch them. In virtual time only.
+
+Each takes the place of the gateway's driver and breaks one rule, on some of the calls.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sagetrack.decide.balance import Balancer
+from sagetrack.decide.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    Fail,
+    ListedServer,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    Send,
+    ServerList,
+    ServerStatus,
+)
+from sagetrack.lab.virtual import Held, VirtualGateway
+
+EVERY = 20  # calls of which one is mistreated
+
+
+class AnswersTwice(VirtualGateway):
+    """Gives some calls a second final answer."""
+
+    def close(self, held: Held) -> None:
+        super().close(held)
+        if hash_of(held.this.call) % EVERY == 0:
+            self.fleet.to_client(held.this, "served", 0)
+
+
+def hash_of(call: str) -> int:
+    """A number that is the same in every process."""
+    return sum(call.encode())
+
+
+class Wrapped:
+    """The module with its events and actions in between."""
+
+    def __init__(self, balancer: Balancer, gateway: VirtualGateway) -> None:
+        self.balancer, self.gateway = balancer, gateway
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        return self.balancer.handle(now_us, event)
+
+
+class IgnoresDrains(Wrapped):
+    """Takes servers that drain for ready ones, until they are gone."""
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        if isinstance(event, ServerList):
+            entries = tuple(
+                ListedServer(e.server, ServerStatus.READY, e.weight, e.zone, e.group, e.kind, e.started_us)
+                if e.status is ServerStatus.DRAINING
+                else e
+                for e in event.servers
+            )
+            event = ServerList(event.kind, entries)
+        return self.balancer.handle(now_us, event)
+
+
+class CrowdsCold(Wrapped):
+    """Sends everything to the server that started last, for as long as it is cold."""
+
+    newest = -1
+    started_us = 0
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        if isinstance(event, ServerList):
+            for entry in event.servers:
+                if entry.started_us > self.started_us and entry.status is ServerStatus.READY:
+                    self.newest, self.started_us = entry.server, entry.started_us
+        actions = self.balancer.handle(now_us, event)
+        cold = now_us - self.started_us < 8_000_000
+        return [
+            Send(a.request, self.newest, a.timeout_us)
+            if isinstance(a, Send) and cold and self.newest >= 0
+            else a
+            for a in actions
+        ]
+
+
+class HoldsRefusals(Wrapped):
+    """Keeps refusals back until shortly before the client stops waiting."""
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        actions = []
+        for action in self.balancer.handle(now_us, event):
+            held = self.gateway.held.get(action.request) if isinstance(action, Refuse | Fail) else None
+            if held is None or not isinstance(action, Refuse | Fail):
+                actions.append(action)
+                continue
+            due = held.this.sent_us + int(held.this.budget_us * 0.95)
+            self.gateway.clock.at(
+                due,
+                lambda a=action: self.gateway.answer(a.request, "refused", 0),  # type: ignore[misc]
+            )
+        return actions
+
+
+class LeavesRack(Wrapped):
+    """Sends a keyed call again to any server of another rack, as soon as an attempt has failed."""
+
+    def __init__(self, balancer: Balancer, gateway: VirtualGateway) -> None:
+        super().__init__(balancer, gateway)
+        self.racks: dict[int, int] = {}
+        self.keyed: set[str] = set()
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        if isinstance(event, ServerList):
+            self.racks |= {entry.server: entry.group for entry in event.servers}
+        elif isinstance(event, RequestArrived) and event.key is not None:
+            self.keyed.add(event.request)
+        actions = self.balancer.handle(now_us, event)
+        if not isinstance(event, AttemptEnded) or event.request not in self.keyed:
+            return actions
+        if event.outcome in (Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT):
+            others = [n for n, rack in self.racks.items() if rack != self.racks.get(event.server)]
+            mine = [
+                a for a in actions if not (isinstance(a, Refuse | Fail | Send) and a.request == event.request)
+            ]
+            if others:
+                return [*mine, Send(event.request, min(others), 500_000)]
+        return actions
+
+
+WRAPS: dict[str, type[Wrapped]] = {
+    "late-to-draining": IgnoresDrains,
+    "crowds-cold": CrowdsCold,
+    "holds-refusals": HoldsRefusals,
+    "leaves-rack": LeavesRack,
+}
+FAULTS = ("answers-twice", *WRAPS)
+SHOWN_BY = {
+    "answers-twice": ("everyday", "one_answer"),
+    "late-to-draining": ("rolling-deploy", "drains"),
+    "crowds-cold": ("rolling-deploy", "cold_budget"),
+    "holds-refusals": ("burst", "late_refusals"),
+    "leaves-rack": ("bad-servers", "repeats"),
+}
+"""The scenario that catches each fault, and the rule that it breaks there."""
+
+
+def maker(fault: str) -> Callable[..., VirtualGateway]:
+    """What makes gateways with this fault; KeyError for an unknown one."""
+    if fault == "answers-twice":
+        return AnswersTwice
+    wrap = WRAPS[fault]
+
+    def make(*arguments: object) -> VirtualGateway:
+        gateway = VirtualGateway(*arguments)  # type: ignore[arg-type]
+        gateway.balancer = wrap(gateway.balancer, gateway)  # type: ignore[assignment]
+        return gateway
+
+    return make
--- /dev/null
+++ b/sagetrack/lab/real.py
@@ -0,0 +1,554 @@
+"""The world in real time: gateway processes that are started, killed, upgraded and reloaded, over loopback
+sockets.
+
+Whatever ends a run, nothing that it started stays behind: gateways are ended by id, and the kernel ends them
+should this process be killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import random
+import resource
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from sagetrack.lab.records import Records
+from sagetrack.lab.scenario import Scenario, Trouble, platform_settings
+from sagetrack.lab.server import Server
+from sagetrack.lab.sockets import Agent, ClientConnection, ServerHost
+from sagetrack.lab.world import Listed, Try, World
+
+READY_S = 15.0  # for a gateway to say that it is ready
+SETTLE_S = 0.3  # between an upgrade's new process being ready and the old one's SIGTERM
+LEAVE_S = 4.0  # for a gateway to end after SIGTERM
+SPARE_FILES = 200
+ROOT = Path(__file__).resolve().parent.parent.parent
+PR_SET_PDEATHSIG = 1
+
+
+class LabError(RuntimeError):
+    """The lab cannot play this; the message says why, in one line."""
+
+
+class RealClock:
+    """Microseconds of the event loop since the run began."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.start_s = self.loop.time()
+
+    def now_us(self) -> int:
+        return int((self.loop.time() - self.start_s) * 1e6)
+
+    def at(self, time_us: int, call: Callable[[], None]) -> asyncio.TimerHandle:
+        return self.loop.call_at(self.start_s + time_us / 1e6, call)
+
+
+def _die_with_parent() -> None:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def need_files(count: int) -> None:
+    """See that this process may hold so many descriptors; LabError if it may not."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < count:
+        if hard != resource.RLIM_INFINITY and hard < count:
+            raise LabError(f"{count} descriptors are needed and {hard} allowed; raise `ulimit -Hn`")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
+class GatewayProcess:
+    """One process of a gateway."""
+
+    def __init__(
+        self, folder: Path, config: dict[str, Any], listener: socket.socket | None, life: int
+    ) -> None:
+        self.file = folder / f"config-{life}.json"
+        self.file.write_text(json.dumps(config))
+        self.log = folder / f"log-{life}.txt"
+        shared = folder / "tmp"
+        shared.mkdir(exist_ok=True)
+        environment = os.environ | {
+            "LB_CONFIG": str(self.file),
+            "TMPDIR": str(shared),
+            "PYTHONPATH": str(ROOT),
+        }
+        environment.pop("LB_ACCEPT_FD", None)
+        descriptors = []
+        if listener is not None:
+            descriptors = [listener.fileno()]
+            environment["LB_ACCEPT_FD"] = str(listener.fileno())
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "sagetrack"], cwd=ROOT, env=environment, pass_fds=descriptors,
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=_die_with_parent,
+            )  # fmt: skip
+        self.admin = config["admin"]
+
+    def last_words(self) -> str:
+        lines = self.log.read_text(errors="replace").strip().splitlines()
+        return lines[-1] if lines else "it said nothing"
+
+    def usage(self) -> tuple[float, float]:
+        """CPU seconds so far, and resident megabytes."""
+        try:
+            stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except OSError:
+            return 0.0, 0.0
+        ticks = os.sysconf("SC_CLK_TCK")
+        return (int(stat[11]) + int(stat[12])) / ticks, pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+class RealGateways:
+    """All gateways of a run as processes, and members' connections to them."""
+
+    def __init__(self, world: World, folder: Path, base_ms: int) -> None:
+        self.world, self.folder, self.base_ms = world, folder, base_ms
+        self.loop = asyncio.get_running_loop()
+        self.hosts: dict[int, ServerHost] = {}
+        self.calls: dict[str, Try] = {}
+        self.draw = random.Random(f"{world.seed}/net")
+        self.agents: dict[int, Agent] = {}
+        self.processes: dict[int, list[GatewayProcess]] = {}  # the newest last
+        self.listeners: dict[int, socket.socket] = {}
+        self.ports: dict[int, int] = {}
+        self.lives = 0
+        self.idle: dict[int, list[ClientConnection]] = {}
+        self.open: dict[int, set[ClientConnection]] = {}
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.failure: str | None = None
+        self.trouble_tasks: dict[str, list[asyncio.Task[Any]]] = {}
+        self.cpu_s = 0.0  # of processes that have ended
+        self.inherits = any(t.kind == "gateway-upgrade" for t in world.scenario.troubles)
+        world.on_server = self.add_server
+        world.on_server_gone = self.server_gone
+
+    # Servers
+
+    def add_server(self, server: Server) -> None:
+        self.hosts[server.number] = ServerHost(self.world, server, self.calls, self.distance_us)
+
+    def server_gone(self, number: int) -> None:
+        host = self.hosts.get(number)
+        if host is None:
+            return
+        if number in self.world.vanished:
+            host.silence()
+        else:
+            host.close()
+
+    def address(self, gateway: int, server: int) -> str:
+        host = self.hosts.get(server)
+        return host.doors[gateway].address if host is not None else f"127.20.{gateway + 1}.254:9"
+
+    def distance_us(self, gateway: int, server: int) -> int:
+        network = self.world.scenario.network
+        there = self.world.roster.entries.get(server)
+        near = there is None or there.zone == gateway % len(self.world.scenario.fleet.zones)
+        base = network.same_ms if near else network.cross_ms
+        return int(base * 1000 * (1.0 + network.jitter * self.draw.random()))
+
+    # Processes
+
+    def config(self, gateway: int) -> dict[str, Any]:
+        scenario = self.world.scenario
+        agent = self.agents[gateway]
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            admin = probe.getsockname()[1]
+        return {
+            "name": f"g{gateway}", "listen": f"127.10.{gateway + 1}.1:{self.ports[gateway]}",
+            "discovery": agent.door.address, "admin": f"127.0.0.1:{admin}",
+            "seed": f"{self.world.seed}/{gateway}/{self.lives}",
+            "limits": {
+                "cores": 1.0, "memory_mb": scenario.gateways.memory_mb, "sockets": scenario.gateways.sockets
+            },
+            "known": agent.known(), "settings": platform_settings(scenario, gateway),
+        }  # fmt: skip
+
+    def listen(self, gateway: int) -> None:
+        """Hold the gateway's listening socket, or find it a port that is free."""
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            holder.bind((f"127.10.{gateway + 1}.1", self.ports.get(gateway, 0)))
+        except OSError as error:
+            holder.close()
+            raise LabError(f"no address for gateway {gateway}: {error.strerror}") from None
+        self.ports[gateway] = holder.getsockname()[1]
+        if self.inherits:
+            holder.listen(1024)
+            self.listeners[gateway] = holder
+        else:
+            holder.close()
+
+    def launch(self, gateway: int) -> GatewayProcess:
+        self.lives += 1
+        folder = self.folder / f"g{gateway}"
+        folder.mkdir(exist_ok=True)
+        process = GatewayProcess(folder, self.config(gateway), self.listeners.get(gateway), self.lives)
+        self.processes.setdefault(gateway, []).append(process)
+        return process
+
+    async def until_ready(self, gateway: int, process: GatewayProcess) -> None:
+        """Wait until a process says that it takes clients; LabError if it ends or never does."""
+        host, _, port = process.admin.rpartition(":")
+        end = self.loop.time() + READY_S
+        while self.loop.time() < end:
+            if process.process.poll() is not None:
+                raise LabError(
+                    f"gateway {gateway} ended with status {process.process.returncode}: "
+                    + process.last_words()
+                )
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"status\n")
+                line = await reader.readline()
+                writer.close()
+                if line.startswith(b"SUCCESS"):
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.01)
+        raise LabError(f"gateway {gateway} was not ready within {READY_S:g} s: {process.last_words()}")
+
+    def start(self) -> None:
+        """Agents and sockets first; processes come with `start_all`."""
+        for gateway in self.world.alive:
+            agent = self.agents[gateway] = Agent(self.world, gateway, self.address, self.base_ms)
+            for entry in self.world.known():
+                agent.entries[entry.server] = Listed(entry.server, entry.zone, entry.rack)
+            self.idle[gateway], self.open[gateway] = [], set()
+            self.listen(gateway)
+
+    async def start_all(self) -> None:
+        processes = {gateway: self.launch(gateway) for gateway in self.world.alive}
+        await asyncio.gather(*(self.until_ready(gateway, process) for gateway, process in processes.items()))
+
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:  # whatever it is: a run that goes on without its clients shows nothing
+            self.failure = self.failure or (str(error) if isinstance(error, LabError) else repr(error))
+
+    def kill(self, gateway: int) -> None:
+        for process in self.processes[gateway]:
+            self.cpu_s += process.usage()[0]
+            process.process.kill()
+        listener = self.listeners.pop(gateway, None)
+        if listener is not None:
+            listener.close()
+
+    def revive(self, gateway: int) -> None:
+        async def work() -> None:
+            for process in self.processes[gateway]:
+                await asyncio.to_thread(process.process.wait)
+            if self.inherits:
+                self.listen(gateway)
+            process = self.launch(gateway)
+            await self.until_ready(gateway, process)
+            self.world.revived(gateway)
+            self.tell(gateway, self.world.known(), True)
+
+        self.spawn(work())
+
+    def upgrade(self, gateway: int) -> None:
+        async def work() -> None:
+            old = self.processes[gateway][-1]
+            new = self.launch(gateway)
+            await self.until_ready(gateway, new)
+            await asyncio.sleep(SETTLE_S)
+            old.process.send_signal(signal.SIGTERM)
+            try:
+                await asyncio.to_thread(old.process.wait, LEAVE_S)
+            except subprocess.TimeoutExpired:
+                old.process.kill()
+
+        self.spawn(work())
+
+    def tell(self, gateway: int, entries: list[Listed], whole: bool) -> None:
+        self.agents[gateway].take(entries, whole)
+
+    # Clients
+
+    def ask(self, this: Try) -> None:
+        self.calls[this.call] = this
+        delay = int(self.world.scenario.network.client_ms * 1000)
+        self.world.clock.at(self.world.clock.now_us() + delay, lambda: self._ask(this))
+
+    def _ask(self, this: Try) -> None:
+        if this.over:
+            return
+        idle = self.idle[this.gateway]
+        while idle and this.request.keeps:
+            connection = idle.pop()
+            if connection.is_open:
+                self._write(this, connection)
+                return
+        self.spawn(self._connect(this))
+
+    async def _connect(self, this: Try) -> None:
+        gateway = this.gateway
+        try:
+            async with asyncio.timeout(this.budget_us / 1e6):
+                _, connection = await self.loop.create_connection(
+                    lambda: ClientConnection(lambda c: self.idle[gateway].append(c)),
+                    f"127.10.{gateway + 1}.1",
+                    self.ports[gateway],
+                )
+        except (OSError, TimeoutError):
+            if not this.over:
+                self.world.on_answer(this, "unreachable")
+            return
+        connection.slow = self.draw.random() < self.world.scenario.clients.slow_readers
+        if this.over or not connection.is_open:
+            connection.close()
+            return
+        self._write(this, connection)
+
+    def _write(self, this: Try, connection: ClientConnection) -> None:
+        kind = this.request.kind
+        spent = self.world.clock.now_us() - this.sent_us
+        headers = [
+            "Host: gateway", f"X-Call-Id: {this.call}", f"X-Call-Class: {kind.name}",
+            f"X-Caller: {self.world.scenario.members[this.request.member].name}",
+            f"X-Budget-Ms: {max(1, (this.budget_us - spent) // 1000)}",
+        ]  # fmt: skip
+        body = b""
+        method = "GET" if kind.effect == "safe" else "POST"
+        if kind.effect == "keyed":
+            headers.append(f"Idempotency-Key: {this.request.key:x}")
+        if method == "POST":
+            body = b"b" * kind.body_bytes
+            headers.append(f"Content-Length: {len(body)}")
+        if this.number > 1 and self.world.scenario.clients.marks_retry:
+            headers.append("X-Again: 1")
+        if not this.request.keeps:
+            headers.append("Connection: close")
+        data = (
+            "\r\n".join([f"{method} /{kind.name}/{this.request.id} HTTP/1.1", *headers, "", ""]).encode()
+            + body
+        )
+        used = connection.used
+        self.open[this.gateway].add(connection)
+
+        def answered(status: int, retry_after_s: float) -> None:
+            self.open[this.gateway].discard(connection)
+            if status == 0 and used and not this.over and self.world.alive[this.gateway]:
+                # The end of a kept connection crossed the request: it is sent once more, on a new one.
+                self.spawn(self._connect(this))
+                return
+            verdict = {0: "broken", 200: "served", 429: "refused", 503: "refused"}.get(status, "failed")
+            delay = int(self.world.scenario.network.client_ms * 1000)
+            due = self.world.clock.now_us() + delay
+            self.world.clock.at(due, lambda: self.world.on_answer(this, verdict, int(retry_after_s * 1e6)))
+
+        this.connection = connection
+        connection.ask(data, answered)
+
+    def leave(self, this: Try) -> None:
+        connection = this.connection
+        if isinstance(connection, ClientConnection) and connection.waits is not None:
+            connection.waits = None
+            connection.close()
+
+    # Troubles of sockets
+
+    def special(self, trouble: Trouble, on: bool) -> None:
+        if trouble.kind == "reload" and on:
+            for gateway, processes in self.processes.items():
+                if self.world.alive[gateway]:
+                    processes[-1].process.send_signal(signal.SIGHUP)
+        elif trouble.kind == "discovery-down" and not on:
+            for agent in self.agents.values():
+                agent.flush()
+        elif trouble.kind in ("crowd", "rude") and on:
+            work = self._crowd if trouble.kind == "crowd" else self._rude
+            count = int(trouble.size)
+            self.trouble_tasks[trouble.kind] = [self.spawn(work(number)) for number in range(count)]
+        elif trouble.kind in ("crowd", "rude"):
+            for task in self.trouble_tasks.pop(trouble.kind, []):
+                task.cancel()
+
+    async def _crowd(self, number: int) -> None:
+        """Connect, begin a head, and never finish it; connect again when turned out."""
+        gateways = list(self.world.alive)
+        while True:
+            gateway = gateways[number % len(gateways)]
+            try:
+                reader, writer = await asyncio.open_connection(f"127.10.{gateway + 1}.1", self.ports[gateway])
+                writer.write(b"GET /lookup HTTP/1.1\r\nX-Half")
+                try:
+                    await reader.read()
+                finally:
+                    writer.close()
+            except OSError:
+                pass
+            await asyncio.sleep(0.2 + self.draw.random() * 0.2)
+
+    async def _rude(self, number: int) -> None:
+        """Say what cannot be read, read the answer, and begin again."""
+        nonsense = (
+            b"\x00\xff\x17nonsense\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n", b"POST /register HTTP/1.1\r\n\r\n",
+            b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            b"GET /none HTTP/1.1\r\nX-Budget-Ms: soon\r\n\r\n",
+        )  # fmt: skip
+        gateways = list(self.world.alive)
+        while True:
+            gateway = gateways[number % len(gateways)]
+            try:
+                reader, writer = await asyncio.open_connection(f"127.10.{gateway + 1}.1", self.ports[gateway])
+                writer.write(nonsense[number % len(nonsense)])
+                async with asyncio.timeout(3):
+                    await reader.read(1000)
+                writer.close()
+            except (OSError, TimeoutError):
+                pass
+            await asyncio.sleep(0.1)
+
+    # The end
+
+    def usage(self) -> tuple[float, float]:
+        """CPU seconds of all gateways so far, and the resident megabytes of the largest."""
+        usages = [p[-1].usage() for g, p in self.processes.items() if self.world.alive[g]]
+        return self.cpu_s + sum(u[0] for u in usages), max((u[1] for u in usages), default=0.0)
+
+    def crashed(self) -> list[str]:
+        """Gateways that ended though nobody ended them."""
+        return [
+            f"gateway {gateway} ended with status {p[-1].process.returncode}: {p[-1].last_words()}"
+            for gateway, p in self.processes.items()
+            if self.world.alive[gateway] and p[-1].process.poll() is not None
+        ]
+
+    def stop(self) -> None:
+        """End every process and close every socket."""
+        for task in list(self.tasks):
+            task.cancel()
+        running = [p.process for processes in self.processes.values() for p in processes]
+        for process in running:
+            if process.poll() is None:
+                process.terminate()
+        end = time.monotonic() + 1.0
+        for process in running:
+            try:
+                process.wait(max(0.0, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        for host in self.hosts.values():
+            host.close()
+        for agent in self.agents.values():
+            agent.door.close()
+        for listener in self.listeners.values():
+            listener.close()
+
+
+async def _play(
+    scenario: Scenario,
+    seed: int,
+    records: Records,
+    progress: Callable[[float, World], None] | None,
+    sample_s: float,
+) -> None:
+    fleet = scenario.fleet
+    replaced = sum(t.kind in ("deploy", "vanish") for t in scenario.troubles)
+    doors = (fleet.servers * (1 + replaced) + 1) * fleet.gateways
+    need_files(doors + int(scenario.rate * 4) + fleet.gateways * 20 + SPARE_FILES)
+    folder = Path(tempfile.mkdtemp(prefix="sagetrack-lab-"))
+    clock = RealClock()
+    world = World(scenario, seed, clock, records)
+    records.header["driver"] = "real"
+    gateways = RealGateways(world, folder, time.time_ns() // 1_000_000)
+    world.gateways = gateways
+    try:
+        world.prepare()
+        gateways.start()
+        await gateways.start_all()
+        # The run begins once all are ready: what came before counts as time 0.
+        clock.start_s = clock.loop.time()
+        base = time.time_ns() // 1_000_000
+        for agent in gateways.agents.values():
+            agent.base_ms = base
+        for server in world.servers.values():
+            server.now_us = server.started_us = 0
+        records.rows = [(row[0], 0, *row[2:]) for row in records.rows]
+        started, _ = gateways.usage()
+        world.begin()
+        whole = int(scenario.seconds * 1e6)
+        longest = max(int(kind.deadline_ms * 1000) for kind in scenario.classes) + 200_000
+        next_sample = 0.0
+        while clock.now_us() < whole + longest:
+            await asyncio.sleep(0.05)
+            now = clock.now_us()
+            if gateways.failure is not None:
+                raise LabError(gateways.failure)
+            crashed = gateways.crashed()
+            if crashed:
+                raise LabError(crashed[0])
+            if progress is not None:
+                progress(min(1.0, now / whole), world)
+            if sample_s and now / 1e6 >= next_sample:
+                next_sample = now / 1e6 + sample_s
+                for server in world.servers.values():
+                    records.add("load", now, server.number, server.held, len(server.running))
+            if now > whole and world.arrivals_over and not world.tries:
+                break
+        cpu_s, memory_mb = gateways.usage()
+        records.header["gateway_cpu_s"] = round(cpu_s - started, 3)
+        records.header["gateway_memory_mb"] = round(memory_mb, 1)
+    finally:
+        gateways.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def play(
+    scenario: Scenario,
+    seed: int,
+    progress: Callable[[float, World], None] | None = None,
+    sample_s: float = 0.0,
+    records: Records | None = None,
+) -> Records:
+    """Play a scenario in real time.
+
+    LabError if it cannot be; KeyboardInterrupt, once all is ended, on a signal.
+    """
+    made = records if records is not None else Records()
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        assert task is not None
+        for signum in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            loop.add_signal_handler(signum, task.cancel)
+        await _play(scenario, seed, made, progress, sample_s)
+
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(main())
+    except asyncio.CancelledError:
+        raise KeyboardInterrupt from None
+    except OSError as error:
+        raise LabError(f"no socket could be had: {error.strerror or error}") from None
+    return made
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,148 @@
+"""The command line as a person uses it, and the lab in real time, with real gateway processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import configuration
+
+ROOT = Path(__file__).parent.parent
+SHORT = (
+    "--set",
+    "seconds=3",
+    "--set",
+    "settle_s=0",
+    "--set",
+    "class.1.work_ms=15",
+    "--set",
+    "class.2.work_ms=15",
+)
+
+
+def command(*words: str, **environment: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "sagetrack", *words], cwd=ROOT, env=os.environ | environment, text=True,
+        capture_output=True, timeout=120,
+    )  # fmt: skip
+
+
+def test_check_names_all_that_is_wrong_and_ends_with_2(tmp_path: Path) -> None:
+    operator, scenario, config = tmp_path / "o.toml", tmp_path / "s.toml", tmp_path / "c.json"
+    operator.write_text('[log]\nlevel = "loud"\nburts = 1\n')
+    scenario.write_text('name = "x"\nsecnds = 3\n')
+    config.write_text(json.dumps(configuration("127.0.0.1:1")))
+    done = command("check", "--config", str(config), "--operator", str(operator), str(scenario))
+    assert done.returncode == 2 and done.stdout == f"{config}: fine\n"
+    lines = done.stderr.splitlines()
+    assert len(lines) == 3 and "o.toml:2: log.level" in lines[0] and "s.toml:2: secnds" in lines[2]
+
+
+def test_a_bad_operators_file_ends_the_gateway_before_it_listens(tmp_path: Path) -> None:
+    config, operator = tmp_path / "c.json", tmp_path / "o.toml"
+    config.write_text(json.dumps(configuration("127.0.0.1:1")))
+    operator.write_text('[log]\nformat = "xml"\n')
+    done = command(LB_CONFIG=str(config), LB_OPERATOR=str(operator))
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert 'log.format = "xml" is not allowed; it is one of console, json, plain' in done.stderr
+
+
+def test_the_platforms_path_loads_no_command_line_library(tmp_path: Path) -> None:
+    done = subprocess.run(
+        [sys.executable, "-X", "importtime", "-m", "sagetrack"], cwd=ROOT, text=True, capture_output=True,
+        env=os.environ | {"LB_CONFIG": str(tmp_path / "none")}, timeout=60,
+    )  # fmt: skip
+    assert done.returncode == 2
+    for library in (
+        "typer",
+        "click",
+        "rich",
+        "msgspec",
+        "structlog",
+        "numpy",
+        "sagetrack.cli",
+        "sagetrack.lab",
+    ):
+        assert f" {library}\n" not in done.stderr
+
+
+@pytest.mark.parametrize(
+    ("words", "why"),
+    [
+        (("lab", "run", "none.toml"), "none.toml: No such file"),
+        (("lab", "run", "scenarios/everyday.toml", "--set", "load.use=9"), "load.use = 9 is not allowed"),
+        (("lab", "run", "scenarios/everyday.toml", "--set", "x"), "the form is key=value"),
+        (
+            ("lab", "run", "scenarios/everyday.toml", "--fault", "none", "--virtual"),
+            "allowed are answers-twice",
+        ),
+        (("lab", "sweep", "scenarios/everyday.toml", "--out", "x", "--seeds", "a"), "the form is 10 or 3-12"),
+        (("lab", "compare", "none", "none"), "no results"),
+        (("check",), "nothing to check"),
+    ],
+)
+def test_bad_words_are_one_plain_line_and_2(words: tuple[str, ...], why: str) -> None:
+    done = command(*words, LB_CONFIG="", LB_OPERATOR="")
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and why in done.stderr
+
+
+def test_a_run_ends_with_one_json_object_and_a_fault_with_1() -> None:
+    good = command("lab", "run", "scenarios/everyday.toml", "--virtual", "--json")
+    row = json.loads(good.stdout.splitlines()[-1])
+    assert good.returncode == 0 and row["service"] > 0.97 and row["rules_broken"] == {}
+    wanted = {"served", "refused", "failed", "p50_ms", "p99_ms", "late", "expect_held"}
+    assert wanted <= row.keys()
+    bad = command("lab", "run", "scenarios/everyday.toml", "--virtual", "--json", "--fault", "answers-twice")
+    assert bad.returncode == 1 and json.loads(bad.stdout)["rules_broken"]["one_answer"] > 0
+
+
+def test_a_real_fleet_bears_a_death_and_an_upgrade(tmp_path: Path) -> None:
+    """Real processes; what depends on this machine's speed is not asked for."""
+    file = tmp_path / "records.gz"
+    done = command(
+        "lab", "run", "scenarios/upgrade.toml", "--json", *SHORT, "--set", "trouble.1.at_s=0.5",
+        "--set", "trouble.2.at_s=1.0", "--set", 'trouble.2.kind="gateway-death"',
+        "--set", "trouble.2.seconds=0.5",
+        "--set", "trouble.3.at_s=1.5", "--set", 'trouble.3.kind="deploy"', "--set", "discovery.drain_s=0.5",
+        "--records", str(file), "--plot", str(tmp_path / "run.png"),
+    )  # fmt: skip
+    row = json.loads(done.stdout.splitlines()[-1])
+    assert row["rules_broken"] == {}, row["violations"]
+    assert row["served"] > 0.6 * row["requests"] and file.exists()
+    assert (tmp_path / "run.png").read_bytes().startswith(b"\x89PNG")
+
+
+def test_an_interrupt_leaves_nothing_running() -> None:
+    """Ctrl-C, and the terminal's close."""
+    for signum in (signal.SIGINT, signal.SIGHUP):
+        marker = f"LAB_TEST_{os.getpid()}_{signum}"
+        process = subprocess.Popen(
+            [sys.executable, "-m", "sagetrack", "lab", "run", "scenarios/everyday.toml"], cwd=ROOT,
+            env=os.environ | {marker: "1"}, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        end = time.monotonic() + 30
+        while len(marked(marker)) < 4 and time.monotonic() < end:
+            assert process.poll() is None
+        process.send_signal(signum)
+        _, errors = process.communicate(timeout=30)
+        assert process.returncode == 130 and "nothing is left running" in errors
+        assert marked(marker) == []
+
+
+def marked(marker: str) -> list[int]:
+    """Processes with this in their environment."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        try:
+            if marker.encode() in path.read_bytes():
+                found.append(int(path.parent.name))
+        except OSError:
+            continue
+    return found
