--- a/sagetrack/config/checked.py
+++ b/sagetrack/config/checked.py
@@ -103,7 +103,10 @@
                 place[-1] = key
                 lines.setdefault(tuple(place), line)
         elif awaits_key and token.startswith('"'):
-            key = json.loads(token)
+            try:
+                key = json.loads(token)
+            except ValueError:  # not JSON after all, which the parser has said
+                key = token
             awaits_key = False
         else:
             lines.setdefault(tuple(place), line)
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -898,8 +898,9 @@
         if event.kind is not ListKind.DELTA:
             named = {entry.server for entry in event.servers}
             self.servers = {number: s for number, s in self.servers.items() if number in named}
+        total = sum(server.weight for server in self.servers.values())
         for entry in event.servers:
-            self.list_server(entry)
+            total += self.list_server(entry, total)
         ready = [s for s in self.servers.values() if s.entry.status is ServerStatus.READY]
         # From its own place on, each at an even distance from the next: chance would send many proxies to
         # some servers and few to others.
@@ -908,13 +909,16 @@
         self.ranked = in_ring[first:] + in_ring[:first]
         self.serve_waiting()
 
-    def list_server(self, entry: ListedServer) -> None:
+    def list_server(self, entry: ListedServer, total: float) -> float:
+        """Take one entry, where all weights add up to `total`; returns by how much that changes."""
         known = self.servers.get(entry.server)
+        before = known.weight if known is not None else 0.0
         if entry.status is ServerStatus.GONE:
             self.servers.pop(entry.server, None)
-        elif known is None or known.entry.started_us != entry.started_us:
-            weights = [s.weight for s in self.servers.values() if s is not known]
-            mean = sum(weights) / len(weights) if weights else CEILING
+            return -before
+        if known is None or known.entry.started_us != entry.started_us:
+            others = len(self.servers) - (known is not None)
+            mean = min(CEILING, max(FLOOR, (total - before) / others)) if others else CEILING
             near = self.nearness(entry)
             rank = rendezvous(0, entry.server, 1.0)
             warm_at_us = entry.started_us + self.settings.warm_after_us if entry.started_us else 0
@@ -923,8 +927,9 @@
             # each begins with a random part of that spent, so that these firsts do not come together.
             server.spent_us = self.random.random() * max(*self.smoothed, self.fall_budget_us() / 2)
             self.servers[entry.server] = server
-        else:
-            known.entry, known.near = entry, self.nearness(entry)
+            return mean - before
+        known.entry, known.near = entry, self.nearness(entry)
+        return 0.0
 
     def log(self, line: str) -> None:
         """Say what was seen, at most so often: a wide failure must not bury its own beginning."""
--- a/sagetrack/lab/server.py
+++ b/sagetrack/lab/server.py
@@ -20,6 +20,7 @@
 DUPLICATE_SHARE = 0.05  # of the work: what a dropped repeat costs
 BUSY_US = 500_000  # over which a choked server's load is smoothed
 SLACK = 1.1  # of the fall budget, for chance
+ROUNDING = 1e-6  # of its work: a request with no more left is done
 
 
 class Result(Enum):
@@ -212,11 +213,14 @@
             for job in self.running:
                 job.left_us -= done
             self._pass(self.now_us + step)
-            if first.left_us <= 1e-6 * max(1.0, first.work_us) or step == due:
-                self.running.remove(first)
-                first.ended = True
+            if step == due:
+                first.left_us = 0.0
+            # Those that end together: one that was left for later would fall due now, for ever.
+            for job in [job for job in self.running if job.left_us <= ROUNDING * job.work_us]:
+                self.running.remove(job)
+                job.ended = True
                 self._fill()
-                first.done(first, first.result)
+                job.done(job, job.result)
 
     def _pass(self, now_us: int) -> None:
         span = now_us - self.now_us
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -83,6 +83,17 @@
     assert bench.ends == [(10_000, Result.SERVED), (20_000, Result.SERVED), (30_000, Result.SERVED)]
 
 
+def test_requests_that_end_together_all_end() -> None:
+    bench = Bench(cores=4)
+    for _ in range(9):
+        bench.send(0)
+    for _ in range(3):
+        due = bench.server.next_us()
+        assert due is not None
+        bench.server.advance(due)
+    assert [now for now, _ in bench.ends] == [10_000] * 4 + [20_000] * 4 + [30_000]
+
+
 def test_a_cold_server_is_slow_and_falls_over_when_pushed() -> None:
     bench = Bench(cold=True, cold_share=0.2, cold_s=10.0, fall_multiple=4.0, fall_s=3.0)
     bench.send(0)
@@ -130,7 +141,7 @@
 @settings(max_examples=60)
 @given(st.lists(st.tuples(st.integers(0, 50_000), st.floats(1.0, 80_000.0)), min_size=1, max_size=60))
 def test_every_request_that_a_server_takes_ends_once(steps: list[tuple[int, float]]) -> None:
-    bench = Bench(waiting_per_core=5, choke=Choke(at=1, over_s=0.05))
+    bench = Bench(cores=2, waiting_per_core=5, choke=Choke(at=1, over_s=0.05))
     now, taken = 0, 0
     for wait, work in steps:
         now += wait
