Add peers: who of the gateways lives, and a warm start from what the others know

Need: a gateway that dies comes back with a list and no knowledge, and an upgrade's new process learns anew; bounds and cold budgets were divided by the settings' count, whether the others live or not.

Change: sagetrack/peers has SWIM with Lifeguard as a pure state machine, a versioned codec of at most 256 bytes with a checksum, asker and teller of a warm start, a node on a datagram socket, and a note in $TMPDIR for a successor. decide/knowledge merges sights as a join and weighs them by age and majority; decide/shares lets a majority take over at most a quarter. The module tells its sights and believes what it has not seen itself. On the platform it is on where the settings allow messages; elsewhere [peers] in the operator's file. `peers` at the second address and on the command line; `lab membership` and `lab restart` measure it. The lab carries datagrams late, lost and cut.

--- a/sagetrack/cli/app.py
+++ b/sagetrack/cli/app.py
@@ -7,7 +7,7 @@
 import typer
 
 from sagetrack import __version__
-from sagetrack.cli import check, demo, lab, run
+from sagetrack.cli import check, demo, lab, peers, run
 
 app = typer.Typer(
     help="A gateway for fleets of servers, and a lab that plays such a fleet on this machine.",
@@ -18,6 +18,7 @@
 app.command("run")(run.run)
 app.command("check")(check.check)
 app.command("demo")(demo.demo)
+app.command("peers")(peers.peers)
 app.add_typer(lab.app, name="lab")
 
 
--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -318,6 +318,95 @@
     raise typer.Exit(1 if any(row["late"] for row in rows) else 0)
 
 
+@app.command("membership")
+def membership(
+    gateways: Annotated[str, typer.Option(help="sizes of the fleet")] = "8,50",
+    loss: Annotated[str, typer.Option(help="shares of datagrams that are lost")] = "0,0.05,0.2",
+    seeds: Annotated[int, typer.Option(help="runs of each", min=1, max=1000)] = 3,
+    seconds: Annotated[float, typer.Option(help="played after the death", min=5, max=3600)] = 60.0,
+) -> None:
+    """Play membership in virtual time: how soon a death is known, who is wrongly declared, what it costs."""
+    from sagetrack.lab.membership import death, partition
+
+    try:
+        sizes = [int(size) for size in gateways.split(",")]
+        losses = [float(share) for share in loss.split(",")]
+    except ValueError:
+        raise fail("--gateways and --loss are lists of numbers, as in 8,50 and 0,0.05") from None
+    if min(sizes) < 2 or not all(0 <= share < 1 for share in losses):
+        raise fail("--gateways are from 2, --loss from 0 to below 1")
+    print("gateways  loss  known after (median, p99)  missed  false deaths  sent/s (most)  bytes/s  healed")
+    with bar("membership", False) as tell:
+        for number, (size, share) in enumerate((size, share) for size in sizes for share in losses):
+            runs = [death(size, seed, share, seconds) for seed in range(1, seeds + 1)]
+            healed = [partition(size, seed, share).healed_s for seed in range(1, seeds + 1)]
+            middle = sorted(run.median_s for run in runs)[len(runs) // 2]
+            last = max(run.p99_s for run in runs)
+            missed, false = sum(run.missed for run in runs), sum(run.false_deaths for run in runs)
+            sent = sum(run.sent_per_s for run in runs) / len(runs)
+            size_s = sum(run.bytes_per_s for run in runs) / len(runs)
+            most = max(run.most_per_s for run in runs)
+            heal = "never" if min(healed) < 0 else f"{max(healed):.1f} s at most"
+            print(
+                f"{size:8}  {share:4.2f}  {middle:8.1f} s, {last:.1f} s  {missed:13}  {false:12}  "
+                f"{sent:6.1f} ({most:.1f})  {size_s:7.0f}  {heal}",
+                flush=True,
+            )
+            tell((number + 1) / (len(sizes) * len(losses)))
+
+
+@app.command("restart")
+def restart(
+    scenario: Annotated[str, typer.Argument(help="a scenario in which a gateway dies")],
+    seeds: Annotated[int, typer.Option(help="how many, from 1", min=1, max=1000)] = 10,
+    virtual: Annotated[bool, typer.Option("--virtual", help="on a simulated clock")] = False,
+    lanes: Annotated[int, typer.Option(help="runs at once in real time", min=1, max=64)] = 3,
+    settings: SetOption = None,
+) -> None:
+    """Measure what a restart costs in a gateway's first 10 s, with and without the others' help."""
+    from sagetrack.lab import restart as restarts
+    from sagetrack.lab.records import read as read_records
+
+    played = scenario_from(scenario, settings)
+
+    def real(variant: Scenario, seed: int) -> Records:
+        """In a process of its own: signals and event loops belong to main threads."""
+        import subprocess
+        import tempfile
+
+        import msgspec
+
+        with tempfile.TemporaryDirectory(prefix="sagetrack-lab-") as folder:
+            file, out = Path(folder) / "scenario.json", Path(folder) / "records.gz"
+            plain = msgspec.to_builtins(variant)
+            if plain["expect"].get("p99_ms_max") is None:
+                plain["expect"].pop("p99_ms_max", None)
+            file.write_text(json.dumps(plain))
+            words = ["lab", "run", str(file), "--seed", str(seed), "--records", str(out), "--json"]
+            done = subprocess.run(
+                [sys.executable, "-m", "sagetrack", *words], capture_output=True, text=True
+            )
+            if done.returncode not in (0, 1) or not out.exists():
+                raise RuntimeError(done.stderr.strip().splitlines()[-1] if done.stderr else "no records")
+            if json.loads(done.stdout.splitlines()[-1])["late"]:
+                raise RuntimeError(f"seed {seed} ran late: lower --lanes")
+            return read_records(out)
+
+    try:
+        from sagetrack.lab.virtual import play as play_virtual
+
+        play = play_virtual if virtual else real
+        with bar("restart", False) as tell:
+            made = restarts.pairs(played, range(1, seeds + 1), play, 1 if virtual else lanes, tell)
+    except (ValueError, RuntimeError) as error:
+        raise fail(str(error)) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    for line in restarts.summary(made):
+        print(line)
+    raise typer.Exit(1 if any(one.broken for one in made) else 0)
+
+
 @app.command("plot")
 def plot(
     records_file: Annotated[str, typer.Argument(help="records that `lab run --records` wrote")],
--- a/sagetrack/config/platform.py
+++ b/sagetrack/config/platform.py
@@ -43,6 +43,8 @@
     known: dict[str, Any]  # in discovery's form
     settings: Settings
     names: Names
+    peer_listen: Address | None = None  # for datagrams of other gateways
+    peers: tuple[Address, ...] = ()  # one for each gateway, in the order of their numbers
 
 
 def stable_id(text: str | bytes, size: int) -> int:
@@ -94,6 +96,8 @@
             known=known,
             settings=parse_settings(json.dumps(settings)),
             names=_names(settings),
+            peer_listen=parse_address(listen, "peer_listen") if (listen := raw.get("peer_listen")) else None,
+            peers=tuple(parse_address(peer, "peers") for peer in raw.get("peers") or ()),
         )
     except WireError as error:
         raise ConfigError(str(error)) from None
--- a/sagetrack/core/metrics.py
+++ b/sagetrack/core/metrics.py
@@ -30,6 +30,7 @@
     def __init__(self, classes: Sequence[str], gauges: Gauges) -> None:
         self.classes = list(classes)
         self.gauges = gauges
+        self.more: list[Callable[[], Mapping[str, int]]] = []  # figures of parts that were switched on
         self.answered = Counter(len(classes))  # requests served
         self.deferred = Counter(len(classes))  # refused
         self.errored = Counter(len(classes))  # failed
@@ -49,6 +50,7 @@
             for klass, count in zip(self.classes, counter.by_class, strict=True)
         ]
         lines += [f"{PREFIX}{name} {gauge()}" for name, gauge in self.gauges.items()]
+        lines += [f"{PREFIX}{name} {value}" for more in self.more for name, value in more().items()]
         return "".join(f"{line}\n" for line in lines)
 
 
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -15,10 +15,12 @@
 from operator import attrgetter
 
 from sagetrack.decide.interface import (
-    NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Effect, Event, Fail, ListedServer, ListKind,
-    Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer,
-    Settings, Sharing, StreamStarted, TimerFired, WatchList,
+    NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Effect, Event, Fail, Fellows, Learned,
+    ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList,
+    ServerStatus, SetTimer, Settings, Sharing, StreamStarted, TimerFired, WatchList,
 )
+from sagetrack.decide.knowledge import CLOSED, HALF_OPEN, OPEN, Latency, Sight, advise
+from sagetrack.decide.shares import sharers
 
 # The breaker
 RING = 10  # outcomes: a second or less of one proxy's traffic to one server
@@ -72,6 +74,11 @@
 FALL_MARGIN = 0.7  # part of the fall budget that is planned with; the rest is for misjudged work and chance
 COLD_COST = 1.25  # of the unhindered latency: the most that a request is taken to cost a cold server
 
+# What other proxies have seen
+OWN_US = 2_000_000  # what this proxy saw itself within this outweighs all that it hears
+FEW_ANSWERS = 20  # own good answers of a class: with fewer, others' latencies are taken
+LATENCY_SPAN = 2.0  # times the first guess: latencies that are told are believed up to this
+
 LOG_GAP_US = 100_000  # between two log lines
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
 CLASS_TELLS = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT})  # of the class's part
@@ -187,6 +194,7 @@
     parts: dict[int, Part] = field(default_factory=dict)  # by class
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
     good_at_us: int = 0  # the last answer, if it was good
+    judged_us: int = 0  # the last outcome that told something
     spent_us: float = 0.0  # cold only: work sent and not yet paid off
     spent_at_us: int = 0
 
@@ -258,9 +266,11 @@
         self.retry_tokens = RETRY_BURST
         self.list_calls_failed = 0
         self.processes = 1  # that are this proxy together
+        self.sharers = settings.proxies  # proxies that share the servers, as far as is known who lives
         classes = settings.classes
         self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
+        self.answers = [0] * len(classes)  # good ones, that these follow from
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
         self.regular = [1.0] * len(classes)  # share of the tries of late that are given that
@@ -294,6 +304,10 @@
             self.on_written(event)
         elif isinstance(event, Sharing):
             self.processes = max(1, event.processes)
+        elif isinstance(event, Learned):
+            self.on_learned(event)
+        elif isinstance(event, Fellows):
+            self.sharers = sharers(event.alive, self.settings.proxies)
         return self.actions
 
     # Requests
@@ -739,7 +753,7 @@
 
     def draw_weight(self, server: Server, request: Request) -> float:
         """A server's weight in the draw; 0 for one that is not eligible."""
-        if len(server.out) >= max(1, math.ceil(CROWD / self.settings.proxies)):
+        if len(server.out) >= max(1, math.ceil(CROWD / self.sharers)):
             return 0.0
         share = 1.0
         if self.now_us < server.warm_at_us:
@@ -786,6 +800,7 @@
             server.breaker.forgo_trial(attempt.trial_of)
             return  # it was given less than an answer takes
         failed = outcome is not Outcome.OK
+        server.judged_us = self.now_us
         self.recent.append((server.entry.server, request.klass, failed))
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
         if not failed:
@@ -820,6 +835,7 @@
 
     def learn_latency(self, request: Request, latency_us: int) -> None:
         index, latency = request.klass, latency_us / request.size
+        self.answers[index] += 1
         self.smoothed[index] += SMOOTHING * (latency - self.smoothed[index])
         self.silent_us = OVERDUE * max(self.smoothed)
         floor = self.unhindered[index]
@@ -843,6 +859,49 @@
         others = [bad for of, k, bad in self.recent if of != number and klass in (None, k)]
         return sum(others) / len(others) if others else 0.0
 
+    # What other proxies have seen
+
+    def sights(self) -> tuple[list[Sight], list[Latency]]:
+        """What this proxy itself has seen of servers and classes: a query that changes nothing."""
+        states = {State.CLOSED: CLOSED, State.OPEN: OPEN, State.HALF_OPEN: HALF_OPEN}
+        sights = []
+        for number, s in self.servers.items():
+            spent_us = int(s.spent_us) if self.now_us < s.warm_at_us else 0
+            if s.judged_us or spent_us:
+                jammed = bool(s.out) and self.now_us - next(iter(s.out.values())) > self.silent_us
+                seen_us = self.now_us if jammed else s.judged_us
+                sights.append(Sight(
+                    number, s.entry.started_us, self.settings.proxy, seen_us, states[s.breaker.state],
+                    s.breaker.open_until_us, s.weight, jammed, spent_us,
+                ))
+        told = [i for i, count in enumerate(self.answers) if count >= FEW_ANSWERS]
+        return sights, [Latency(i, self.smoothed[i], self.unhindered[i]) for i in told]
+
+    def on_learned(self, event: Learned) -> None:
+        """Believe what others saw where this proxy has seen nothing itself of late, the less the older it is.
+
+        Guards against a start that knows nothing: it would feed a slow server until its ring is full.
+        """
+        ready = {s.entry.server: s.entry.started_us for s in self.ranked}
+        for sight in event.sights:
+            known = self.servers.get(sight.server)
+            if sight.by == self.settings.proxy and known and known.entry.started_us == sight.started_us:
+                known.spent_us = max(known.spent_us, sight.spent_us)  # it was this proxy that spent it
+        for advice in advise(event.sights, ready, self.now_us):
+            server = self.servers[advice.server]
+            if server.judged_us and self.now_us - server.judged_us < OWN_US:
+                continue
+            server.weight += advice.trust * (min(CEILING, max(FLOOR, advice.weight)) - server.weight)
+            if advice.open_us >= 0 and server.breaker.state is State.CLOSED:
+                server.breaker.open(self.now_us)
+                server.breaker.open_until_us = self.now_us + min(advice.open_us, LONGEST_COOLDOWN_US)
+        for told in event.latencies:
+            if 0 <= told.klass < len(self.answers) and self.answers[told.klass] < FEW_ANSWERS:
+                most = LATENCY_SPAN * self.settings.classes[told.klass].aim_us / 4
+                self.smoothed[told.klass] = min(most, max(1.0, told.smoothed_us))
+                self.unhindered[told.klass] = min(self.smoothed[told.klass], max(1.0, told.unhindered_us))
+        self.silent_us = OVERDUE * max(self.smoothed)
+
     # Cold servers
 
     def cold_room(self, server: Server, request: Request) -> bool:
@@ -860,7 +919,7 @@
 
         The parts of all add up to the whole; half of it, drained by half in each window, never passes it.
         """
-        users = max(1.0, self.settings.proxies * min(1.0, self.reach / max(1, len(self.ranked))))
+        users = max(1.0, self.sharers * min(1.0, self.reach / max(1, len(self.ranked))))
         return FALL_MARGIN * self.settings.fall_multiple * self.settings.fall_us / users / self.processes
 
     def cold_cost_us(self, request: Request) -> float:
--- a/sagetrack/decide/interface.py
+++ b/sagetrack/decide/interface.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from sagetrack.decide.knowledge import Latency, Sight
+
 
 class Effect(Enum):
     """What running a request a second time would do."""
@@ -294,8 +296,25 @@
     processes: int
 
 
+@dataclass(slots=True, frozen=True)
+class Learned:
+    """What other proxies, or this one before it was restarted, have seen."""
+
+    sights: tuple[Sight, ...]
+    latencies: tuple[Latency, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Fellows:
+    """So many proxies, this one among them, are not known to be dead."""
+
+    alive: int
+
+
 Event = (
-    ServerList
+    Learned
+    | Fellows
+    | ServerList
     | RequestArrived
     | AttemptEnded
     | RequestGone
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Callable
 from typing import cast
 
 from sagetrack.core.bodies import Allowance, Upload
@@ -67,6 +68,7 @@
         longest_us = max(klass.give_up_us for klass in config.settings.classes)
         self.drain = Drain(longest_us / 1e6)
         self.overlap: Siblings = Alone()
+        self.describe_peers: Callable[[], list[str]] = lambda: ["messages between gateways are off"]
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.drainer: asyncio.TimerHandle | None = None
@@ -209,6 +211,9 @@
     def stats(self) -> str:
         return self.gateway.metrics.render()
 
+    def peers(self) -> str:
+        return "".join(f"{line}\n" for line in self.describe_peers())
+
     def standby(self) -> bool:
         """Begin a drain, which lasts until `active`."""
         begun = self.drain.standby(asyncio.get_running_loop().time())
--- a/sagetrack/http/gateway.py
+++ b/sagetrack/http/gateway.py
@@ -144,6 +144,10 @@
         """So many processes are this gateway now."""
         self.post(lambda: Sharing(processes))
 
+    def lives(self) -> dict[int, int]:
+        """When each listed server started."""
+        return {number: host.started_us for number, host in self.pools.hosts.items()}
+
     @property
     def can_serve(self) -> bool:
         """Whether there is any host to send to."""
--- a/sagetrack/lab/scenario.py
+++ b/sagetrack/lab/scenario.py
@@ -140,6 +140,14 @@
     batch: Share = 0.15  # of the servers that a deploy replaces at a time
 
 
+class Peers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Messages between gateways."""
+
+    use: bool = False
+    period_ms: Positive = 1000.0
+    warm_start: bool = True
+
+
 class Expect(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds that must hold. No rule may be broken, whatever stands here."""
 
@@ -181,6 +189,7 @@
     load: Load = msgspec.field(default_factory=Load)
     gateways: Gateways = msgspec.field(name="gateway", default_factory=Gateways)
     troubles: list[Trouble] = msgspec.field(name="trouble", default_factory=list)
+    peers: Peers = msgspec.field(default_factory=Peers)
     expect: Expect = msgspec.field(default_factory=Expect)
 
     @property
@@ -293,7 +302,8 @@
         "prices": {"crossZone": 0.02},
         "report": {"how": "silent", "fields": []},
         "caps": {
-            "maxAttempts": rules.max_attempts, "mayCancel": rules.may_cancel, "peers": True, "probes": False,
+            "maxAttempts": rules.max_attempts, "mayCancel": rules.may_cancel, "peers": scenario.peers.use,
+            "probes": False,
             "secondCopies": rules.second_copies, "retryAfter": rules.max_retry_after_ms > 0, "multiplex": 1,
             "maxRetryAfterUs": int(rules.max_retry_after_ms * 1000),
             "connectTimeoutUs": int(scenario.network.connect_timeout_ms * 1000),
--- a/sagetrack/lab/sockets.py
+++ b/sagetrack/lab/sockets.py
@@ -392,6 +392,45 @@
             self.timer.cancel()
 
 
+class Way(asyncio.DatagramProtocol):
+    """One gateway's address for another: what it sends there is passed on, late or not at all."""
+
+    def __init__(self, world: World, source: int, target: int, ways: dict[tuple[int, int], Way]) -> None:
+        self.world, self.source, self.target, self.ways = world, source, target, ways
+        self.transport: asyncio.DatagramTransport | None = None
+        self.gateway: tuple[str, int] = ("", 0)  # where the gateway listens that this address is for
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    @property
+    def address(self) -> str:
+        assert self.transport is not None
+        return "{}:{}".format(*self.transport.get_extra_info("sockname"))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        world, network = self.world, self.world.scenario.network
+        if len(data) > 256:
+            world.records.add("trouble", world.clock.now_us(), "long-datagram", "begins", len(data))
+        lost = world.draw_peers.random() < network.peer_loss
+        if lost or not world.peers_reach(self.source, self.target):
+            return
+        due = world.clock.now_us() + int(world.draw_peers.uniform(*network.peer_ms) * 1000)
+        back = self.ways[self.target, self.source]  # the target knows the sender by this address
+
+        def arrive() -> None:
+            if back.transport is not None:
+                back.transport.sendto(data, back.gateway)
+
+        world.clock.at(due, arrive)
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody listens there now: it is lost."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+
+
 OnAnswer = Callable[
     [int, float], None
 ]  # status (0: the connection broke, -1: it never came up), retry-after in s
--- a/sagetrack/lab/virtual.py
+++ b/sagetrack/lab/virtual.py
@@ -19,6 +19,8 @@
     Cancel,
     Event,
     Fail,
+    Fellows,
+    Learned,
     ListedServer,
     ListKind,
     Outcome,
@@ -38,6 +40,9 @@
 from sagetrack.lab.scenario import Scenario, Trouble, platform_settings
 from sagetrack.lab.server import Job, Result
 from sagetrack.lab.world import GONE, Listed, Try, World
+from sagetrack.peers.codec import Ask, Datagram, Tell, decode, encode
+from sagetrack.peers.membership import Membership, Settings
+from sagetrack.peers.warm import Asker, Teller, latencies_from
 
 BASE_US = 1_000_000_000  # the gateways' clock at the run's begin: 0 would mean long ago
 IDLE_SHARE = 0.8  # of a server's idle time that a connection is kept unused for
@@ -131,6 +136,9 @@
         self.held: dict[str, Held] = {}
         self.idle: dict[int, list[int]] = {}  # by server: when each unused connection was last used
         self.dead = False
+        self.node: VirtualNode | None = None
+        if fleet.world.scenario.peers.use:
+            self.node = VirtualNode(self, seed)
 
     def handle(self, event: Event) -> None:
         if self.dead:
@@ -303,6 +311,70 @@
         self.handle(AttemptEnded(call, attempt.number, attempt.server, outcome, latency, held.closed))
 
 
+class VirtualNode:
+    """What a gateway tells the others and hears from them: the real state machines on the simulated clock."""
+
+    def __init__(self, gateway: VirtualGateway, seed: int) -> None:
+        self.gateway, self.clock = gateway, gateway.clock
+        peers = gateway.world.scenario.peers
+        count = gateway.world.scenario.fleet.gateways
+        now = self.clock.now_us()
+        settings = Settings(period_us=int(peers.period_ms * 1000))
+        self.machine = Membership(
+            gateway.number, count, settings, seed, now, self.send, 1 + now // 1_000_000
+        )
+        self.machine.on_change = lambda member, state: gateway.handle(Fellows(self.machine.alive))
+        others = [number for number in range(count) if number != gateway.number]
+        warm = peers.warm_start and now > 0  # nobody knows anything at the begin of a run
+        self.asker = Asker(gateway.number, others, seed ^ 1, now, self.ask) if warm else None
+        self.teller = Teller(now)
+        self.planned_us = -1
+        self.clock.at(now, self.wake)
+
+    def send(self, target: int, datagram: Datagram) -> None:
+        if not self.gateway.dead:
+            self.machine.counts.sent += 1
+            data = encode(datagram)
+            self.machine.counts.sent_bytes += len(data)
+            self.gateway.fleet.carry(self.gateway.number, target, data)
+
+    def ask(self, target: int, ask: Ask) -> None:
+        self.send(target, Datagram(self.gateway.number, self.machine.incarnation, [ask]))
+
+    def wake(self) -> None:
+        if self.gateway.dead:
+            return
+        now = self.clock.now_us()
+        self.machine.tick(now)
+        due = self.machine.next_us()
+        if self.asker is not None and not self.asker.is_over:
+            self.asker.tick(now)
+            due = min(due, self.asker.due_us)
+        if due != self.planned_us:
+            self.planned_us = due
+            self.clock.at(max(due, now + 1000), lambda: self.wake_at(due))
+
+    def wake_at(self, due_us: int) -> None:
+        if self.planned_us == due_us:
+            self.planned_us = -1
+            self.wake()
+
+    def hear(self, data: bytes) -> None:
+        now, gateway = self.clock.now_us(), self.gateway
+        datagram = decode(data)
+        self.machine.handle(now, datagram)
+        for message in datagram.messages:
+            if isinstance(message, Ask):
+                sights, latencies = gateway.balancer.sights()
+                for part in self.teller.answer(now + BASE_US, message, sights, latencies):
+                    self.send(datagram.sender, Datagram(gateway.number, self.machine.incarnation, [part]))
+            elif isinstance(message, Tell) and self.asker is not None:
+                lives = {n: s.entry.started_us for n, s in gateway.balancer.servers.items()}
+                found = self.asker.handle(now + BASE_US, datagram.sender, message, lives)
+                gateway.handle(Learned(tuple(found), latencies_from(message.classes)))
+        self.wake()
+
+
 class VirtualGateways:
     """All gateways of a run, and the ways to and from them."""
 
@@ -407,6 +479,20 @@
             event = PeerMessage(sender, action.payload)
             self.clock.at(due, lambda n=number, e=event: self._hear(n, e))  # type: ignore[misc]
 
+    def carry(self, sender: int, target: int, data: bytes) -> None:
+        """A datagram of the gateways' own protocol; partitions by zone cut it too."""
+        world, network = self.world, self.world.scenario.network
+        if self.draw.random() < network.peer_loss or not world.peers_reach(sender, target):
+            return
+        due = self.clock.now_us() + int(self.draw.uniform(*network.peer_ms) * 1000)
+
+        def arrive() -> None:
+            gateway = self.up.get(target)
+            if gateway is not None and gateway.node is not None:
+                gateway.node.hear(data)
+
+        self.clock.at(due, arrive)
+
     def _hear(self, number: int, event: PeerMessage) -> None:
         if number in self.up:
             self.up[number].handle(event)
--- a/sagetrack/lab/world.py
+++ b/sagetrack/lab/world.py
@@ -129,6 +129,7 @@
         self.draw_load = random.Random(f"{seed}/load")
         self.draw_trouble = random.Random(f"{seed}/trouble")
         self.draw_client = random.Random(f"{seed}/client")
+        self.draw_peers = random.Random(f"{seed}/peers")
         self.servers: dict[int, Server] = {}
         self.roster = Roster()
         self.next_server = 1
@@ -635,6 +636,10 @@
         """Whether messages pass between a gateway and a server."""
         return not any(gateway in gateways and server in servers for gateways, servers in self.cut)
 
+    def peers_reach(self, one: int, other: int) -> bool:
+        """Whether datagrams pass between two gateways."""
+        return not any((one in near) != (other in near) for near, _ in self.cut)
+
     def _do_skew(self, trouble: Trouble) -> Callable[[], None]:
         """Clocks of some gateways are off by `size` seconds, by turns behind and ahead."""
         chosen = self._some(list(self.alive), trouble.part)
--- a/sagetrack/ops/admin.py
+++ b/sagetrack/ops/admin.py
@@ -30,6 +30,10 @@
         """The figures, a line each."""
         ...
 
+    def peers(self) -> str:
+        """Other gateways as this one sees them, a line each."""
+        ...
+
     def standby(self) -> bool:
         """Drain; False if that can't be."""
         ...
@@ -50,6 +54,7 @@
             "status": lambda: _said(operations.status(), "takes clients", "takes no clients"),
             "stats": lambda: f"SUCCESS\n{operations.stats()}EOT\n",
             "standby": lambda: _said(operations.standby(), "drains", "is on its way out"),
+            "peers": lambda: f"SUCCESS\n{operations.peers()}EOT\n",
             "active": lambda: _said(operations.active(), "takes clients", "is on its way out"),
         }
 
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -4,15 +4,21 @@
 
 import asyncio
 import socket
+from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Config
 from sagetrack.http.front import Server
 from sagetrack.http.gateway import Gateway
 from sagetrack.http.line import HttpLine, connect
+from sagetrack.ops.fellowship import Handover, node_for
 from sagetrack.ops.listen import bind, inherit
 from sagetrack.ops.overlap import Overlap
 from sagetrack.roster.discovery import CallError, Discovery
 
+if TYPE_CHECKING:
+    from sagetrack.config.operator import Operator
+    from sagetrack.peers.node import Node
+
 
 async def _ask_discovery(address: tuple[str, int]) -> HttpLine:
     return await connect(address, CallError)
@@ -21,9 +27,11 @@
 class Instance:
     """The gateway, its clients' side and where its list of servers comes from. Made on a running loop."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, operator: Operator | None = None) -> None:
         asyncio.get_running_loop()  # RuntimeError without one
-        self.config = config
+        self.config, self.operator = config, operator
+        self.node: Node | None = None
+        self.handover: Handover | None = None
         self.gateway = Gateway(config)
         self.server = Server(config, self.gateway)
         self.overlap = Overlap(config.folder if config.accept_fd is not None else None)
@@ -42,8 +50,28 @@
         descriptor = config.accept_fd
         listener: socket.socket = bind(config.listen) if descriptor is None else inherit(descriptor)
         self.server.start(listener, self.discovery)
+        self.join_peers()
+
+    def join_peers(self) -> None:
+        """Take part in what gateways tell each other, where that is allowed or asked for."""
+        config, gateway = self.config, self.gateway
+        self.node = node_for(config, self.operator, gateway)
+        if self.node is not None:
+            gateway.metrics.more.append(self.node.figures)
+            self.server.describe_peers = self.node.describe
+            self.node.start()
+        if self.overlap.folder is not None:
+            self.handover = Handover(self.overlap, config, gateway)
+
+    def leave_peers(self) -> None:
+        """Say no more to the others, and free the address for a successor."""
+        if self.node is not None:
+            self.node.close()
+        if self.handover is not None:
+            self.handover.close()
 
     def close(self) -> None:
         """Give up everything at once."""
         self.server.close()
+        self.leave_peers()
         self.gateway.close()
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -5,6 +5,10 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sagetrack.config.operator import Operator
 
 
 def _end_early(signum: int, frame: object) -> None:
@@ -12,8 +16,8 @@
     os._exit(0)
 
 
-def _take_operators(path: str, gateway: str) -> bool:
-    """Do as the operator's file says; False, and a line for each fault, if it cannot be used."""
+def _take_operators(path: str, gateway: str) -> Operator | None:
+    """Read the operator's file and log as it says; None, and a line for each fault, if it cannot be used."""
     from sagetrack.config.checked import FileError
     from sagetrack.config.operator import load
 
@@ -22,13 +26,13 @@
     except FileError as error:
         for fault in error.faults:
             print(f"sagetrack: {fault}", file=sys.stderr)
-        return False
+        return None
     log = operator.log
     if log.format != "plain":
         from sagetrack.core.structured import switch_on
 
         switch_on(log.format, log.level, gateway, log.burst, log.rate)
-    return True
+    return operator
 
 
 def main() -> int:
@@ -45,9 +49,11 @@
     except ConfigError as error:
         print(f"sagetrack: {error}", file=sys.stderr)
         return 2
-    operators = os.environ.get("LB_OPERATOR")
-    if operators and not _take_operators(operators, config.name):
-        return 2
+    operator = None
+    if operators := os.environ.get("LB_OPERATOR"):
+        operator = _take_operators(operators, config.name)
+        if operator is None:
+            return 2
 
     import asyncio
     import gc
@@ -65,7 +71,7 @@
         stop = asyncio.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
-        instance = Instance(config)
+        instance = Instance(config, operator)
         gateway, server = instance.gateway, instance.server
         reloader = Reloader(instance.discovery)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
@@ -90,6 +96,7 @@
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
+        instance.leave_peers()
         leaving = loop.create_task(server.leave())
         await asyncio.sleep(0)  # the way out has begun, and it knows when it ends
         try:
--- /dev/null
+++ b/sagetrack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership between gateways, and what they tell each other."""
--- /dev/null
+++ b/sagetrack/peers/handover.py
@@ -0,0 +1,76 @@
+"""What a process leaves for the next one of the same gateway on the same machine: one file in $TMPDIR.
+
+It is written whole under another name first and renamed, with a checksum; what is torn, stale, of another
+version or of another gateway is passed over. Times are readings of the machine's clock, which both processes
+share.
+"""
+
+from __future__ import annotations
+
+import os
+import zlib
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from sagetrack.core.log import log
+from sagetrack.decide.knowledge import Latency, Sight
+
+FILE = "sagetrack-knowledge.bin"
+MAGIC = b"SGTK1"
+LIMIT = 1024 * 1024  # bytes: files count as memory
+STALE_US = 60_000_000
+
+
+class Note(msgspec.Struct, array_like=True, frozen=True):
+    """What the file holds."""
+
+    gateway: str
+    written_us: int
+    sights: list[Sight]
+    latencies: list[Latency]
+
+
+def write(
+    folder: Path, gateway: str, now_us: int, sights: Iterable[Sight], latencies: Iterable[Latency]
+) -> bool:
+    """Leave a note; False, and a line in the log, if that cannot be. Until it is whole the old one stands."""
+    body = msgspec.msgpack.encode(Note(gateway, now_us, list(sights), list(latencies)))
+    if len(body) > LIMIT:
+        log(f"what is known of servers is not handed on: {len(body)} bytes are too many")
+        return False
+    fresh = folder / f"{FILE}.{os.getpid()}"
+    try:
+        fresh.write_bytes(MAGIC + zlib.crc32(body).to_bytes(4) + body)
+        os.replace(fresh, folder / FILE)
+    except OSError as error:
+        log(f"what is known of servers is not handed on: {error.strerror}")
+        return False
+    return True
+
+
+def parse(data: bytes, gateway: str, now_us: int) -> Note | None:
+    """The note in these bytes; None, whatever they are, if it is not whole, fresh and this gateway's."""
+    head = len(MAGIC) + 4
+    body = data[head:]
+    if len(data) > LIMIT + head or data[: len(MAGIC)] != MAGIC:
+        return None
+    if zlib.crc32(body) != int.from_bytes(data[len(MAGIC) : head]):
+        return None
+    try:
+        note: Note = msgspec.msgpack.decode(body, type=Note)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    if note.gateway != gateway or not 0 <= now_us - note.written_us <= STALE_US:
+        return None
+    return note
+
+
+def read(folder: Path, gateway: str, now_us: int) -> Note | None:
+    """The note that lies there, if it can be used."""
+    try:
+        with open(folder / FILE, "rb") as file:
+            return parse(file.read(LIMIT + 64), gateway, now_us)
+    except OSError:
+        return None
