Forward DNS over UDP and TCP through the same decisions as HTTP

Need: member systems find servers by name, and other installations want the program to forward DNS under the same rules: one answer, deadlines, breakers, limits on repeats.

Change: sagetrack/dns, off unless [dns] names an address. The front takes UDP and TCP (lengths in pieces, answers in any order, limits by connection and client), joins a client's repeat to the query in work, shares one call among equal questions, and answers what is given up at once: from a stale answer, else SERVFAIL with an extended error. The back has random ids and changing ports, matches id, question and address, and goes on over TCP within the same attempt. The cache is bounded by bytes, with negative answers, stale ones and prefetch; access goes by prefix, answers by rate. Settings gain `crowd`, as DNS servers hold more than three queries. The lab has stand-in servers that are slow, lossy, cutting, forging and spoilt, and plays DNS beside HTTP.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -121,7 +121,10 @@
             from sagetrack.lab.virtual import play as play_virtual
 
             with bar(played.name, as_json) as tell:
-                records: Records = play_virtual(played, seed, tell, sample_s, fault)
+                try:
+                    records: Records = play_virtual(played, seed, tell, sample_s, fault)
+                except ValueError as error:
+                    raise fail(str(error)) from None
         else:
             records = play_real(played, seed, as_json, sample_s)
     except KeyboardInterrupt:
@@ -142,6 +145,7 @@
         header = {name: records.header[name] for name in ("scenario", "seed", "driver")}
         extra = {k: v for k, v in records.header.items() if k.startswith("gateway_")}
         shown = [str(violation) for violation in violations[:SHOWN]]
+        extra |= {"http_service": round(made.service, 4)} if made.dns_queries else {}
         print(json.dumps({**header, **made.plain(), **extra, "violations": shown}))
     else:
         show(played, made, violations, records)
--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import ipaddress
+from collections.abc import Iterator, Mapping
 from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
 
-from sagetrack.config.checked import read
+from sagetrack.config.checked import Fault, read
 
 VARIABLE = "LB_OPERATOR"
 
@@ -34,16 +35,55 @@
     warm_start: bool = True  # ask the others what they know
 
 
+Place = Annotated[str, Meta(pattern=r"^\S+:\d{1,5}$")]
+
+
+class DnsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """DNS over UDP and TCP; off without an address to listen at."""
+
+    listen: list[Place] = msgspec.field(default_factory=list)
+    upstreams: list[Place] = msgspec.field(default_factory=list)
+    aim_ms: Annotated[int, Meta(ge=1, le=60_000)] = 500
+    deadline_ms: Annotated[int, Meta(ge=1, le=60_000)] = 2000
+    cache_mb: Annotated[float, Meta(ge=0, le=65_536)] = 32.0
+    stale_s: Annotated[float, Meta(ge=0, le=604_800)] = 86_400.0
+    allow: list[str] = msgspec.field(default_factory=lambda: ["127.0.0.0/8", "::1/128"])
+    deny: list[str] = msgspec.field(default_factory=list)
+    answers_per_s: Annotated[float, Meta(ge=0, le=1_000_000)] = 0.0
+    queries_each: Annotated[int, Meta(ge=1, le=100_000)] = 256
+    queries: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
+    connections_each: Annotated[int, Meta(ge=1, le=10_000)] = 16
+    connections: Annotated[int, Meta(ge=1, le=100_000)] = 256
+    crowd: Annotated[int, Meta(ge=1, le=100_000)] = 1000
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     log: LogSettings = msgspec.field(default_factory=LogSettings)
     peers: PeerSettings = msgspec.field(default_factory=PeerSettings)
+    dns: DnsSettings = msgspec.field(default_factory=DnsSettings)
 
 
 def load(path: str) -> Operator:
     """Read the file; `checked.FileError` names everything that is wrong with it."""
-    return read(path, Operator)
+    return read(path, Operator, _across)
+
+
+def _across(operator: Operator) -> Iterator[Fault]:
+    """What types cannot tell."""
+    dns = operator.dns
+    if dns.listen and not dns.upstreams:
+        yield Fault(("dns", "upstreams"), "dns.upstreams is missing; it is a list of at least one host:port")
+    if dns.aim_ms > dns.deadline_ms:
+        yield Fault(("dns", "aim_ms"), f"dns.aim_ms = {dns.aim_ms} is above deadline_ms = {dns.deadline_ms}")
+    for key in ("allow", "deny"):
+        for number, prefix in enumerate(getattr(dns, key)):
+            try:
+                ipaddress.ip_network(prefix, strict=False)
+            except ValueError:
+                why = f"dns.{key}[{number + 1}] = {prefix!r} is no prefix, as in 10.0.0.0/8"
+                yield Fault(("dns", key), why)
 
 
 def path_in(environment: Mapping[str, str]) -> str | None:
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -753,7 +753,7 @@
 
     def draw_weight(self, server: Server, request: Request) -> float:
         """A server's weight in the draw; 0 for one that is not eligible."""
-        if len(server.out) >= max(1, math.ceil(CROWD / self.sharers)):
+        if len(server.out) >= max(1, math.ceil((self.settings.crowd or CROWD) / self.sharers)):
             return 0.0
         share = 1.0
         if self.now_us < server.warm_at_us:
--- /dev/null
+++ b/sagetrack/dns/service.py
@@ -0,0 +1,102 @@
+"""DNS in this process: a module of its own with one class, upstream servers, a cache and a front."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from sagetrack.config.platform import Address, stable_id
+from sagetrack.core.calls import Entry
+from sagetrack.core.gateway import Gateway
+from sagetrack.decide.interface import Effect, ListedServer, ListKind, RequestClass, Settings
+from sagetrack.dns.back import Upstreams
+from sagetrack.dns.cache import Cache
+from sagetrack.dns.front import Front, Limits
+from sagetrack.dns.limits import Access, ResponseRate
+
+CLASS = "query"
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What an installation asks for."""
+
+    listen: Sequence[Address]
+    upstreams: Sequence[Address]
+    aim_us: int = 500_000
+    deadline_us: int = 2_000_000
+    cache_bytes: int = 32 * 1024 * 1024
+    stale_s: float = 86_400.0
+    allow: Sequence[str] = ("127.0.0.0/8", "::1/128")
+    deny: Sequence[str] = ()
+    answers_per_s: float = 0.0  # to one prefix over UDP; 0: no bound
+    limits: Limits = field(default_factory=Limits)
+    crowd: int = 1000  # attempts that one upstream server holds at the most
+    gateways: int = 1
+
+
+def settings(plan: Plan) -> Settings:
+    """The module's view: one class that is safe to repeat."""
+    query = RequestClass(plan.aim_us, plan.deadline_us, late_worth=0.5, effect=Effect.SAFE)
+    return Settings(
+        classes=(query,), proxies=plan.gateways, max_attempts=4, second_copies=True, crowd=plan.crowd,
+        connect_timeout_us=min(1_000_000, plan.aim_us), stop_sending_within_us=2_000_000,
+        max_retry_after_us=2_000_000,
+    )  # fmt: skip
+
+
+class Service:
+    """Made on a running loop."""
+
+    def __init__(self, plan: Plan, seed: int) -> None:
+        self.plan = plan
+        made = settings(plan)
+        self.back = Upstreams(made)
+        self.gateway = Gateway(made, seed, [CLASS], self.back, {})
+        self.cache = Cache(plan.cache_bytes, plan.stale_s)
+        self.front = Front(
+            self.gateway, self.cache, Access(plan.allow, plan.deny), ResponseRate(plan.answers_per_s),
+            plan.limits, plan.deadline_us,
+        )  # fmt: skip
+
+    async def start(self) -> list[Address]:
+        """Listen; OSError if an address cannot be had."""
+        self.list_upstreams(self.plan.upstreams)
+        return await self.front.start(list(self.plan.listen))
+
+    def list_upstreams(self, addresses: Sequence[Address]) -> None:
+        """The whole list of upstream servers, as it is now."""
+        entries = []
+        for host, port in addresses:
+            name = f"{host}:{port}"
+            entries.append(Entry(name, (host, port), ListedServer(stable_id(name, 4))))
+        self.gateway.on_list(ListKind.FULL, entries)
+
+    def figures(self) -> dict[str, int]:
+        """For the stats."""
+        front, cache, back = self.front.counts, self.cache, self.back.counts
+        return {
+            "dns_queries_total": front.queries,
+            "dns_answered_total": front.answered,
+            "dns_refused_total": front.refused,
+            "dns_failed_total": front.failed,
+            "dns_joined_total": front.joined,
+            "dns_shared_total": front.shared,
+            "dns_denied_total": front.denied,
+            "dns_unreadable_total": front.unreadable,
+            "dns_cache_hits_total": cache.counts.hits,
+            "dns_cache_misses_total": cache.counts.misses,
+            "dns_cache_stale_total": cache.counts.stale,
+            "dns_cache_evicted_total": cache.counts.evicted,
+            "dns_cache_entries": len(cache.entries),
+            "dns_cache_bytes": cache.bytes,
+            "dns_upstream_attempts_total": back.udp,
+            "dns_upstream_tcp_total": back.tcp,
+            "dns_upstream_unmatched_total": back.unmatched,
+            "dns_upstream_unhealthy": self.gateway.balancer.avoided(),
+            "dns_current": len(self.front.waiting),
+        }
+
+    def close(self) -> None:
+        self.front.close()
+        self.gateway.close()
--- a/sagetrack/lab/figures.py
+++ b/sagetrack/lab/figures.py
@@ -42,6 +42,9 @@
     by_member: dict[str, float] = field(default_factory=dict)
     rules_broken: dict[str, int] = field(default_factory=dict)
     late: bool = False  # the load ran late: not to be scored
+    dns_queries: int = 0
+    dns_service: float = 1.0  # share of DNS queries answered within their aim
+    dns_p99_ms: float = 0.0
     expect_held: bool = True
     expect_missed: list[str] = field(default_factory=list)
 
@@ -107,6 +110,15 @@
     made.rules_broken = {rule: count for rule in RULES if (count := sum(v.rule == rule for v in violations))}
     late = sum(1 for _ in records.of("late"))
     made.late = late > LATE_SHARE * max(1, made.requests)
+    dns = [row for row in records.of("dns") if row[4] >= settled]
+    if dns:
+        made.dns_queries = len(dns)
+        made.dns_service = sum(row[3] == "served" for row in dns) / len(dns)
+        answered = histogram()
+        for row in dns:
+            if row[3] in ("served", "late"):
+                answered.record_value(max(1, row[1] - row[4]))
+        made.dns_p99_ms = answered.get_value_at_percentile(99) / 1000
     made.expect_missed = missed(made, scenario.expect)
     made.expect_held = not made.expect_missed
     return made
@@ -119,6 +131,7 @@
         "service_min": (made.service, expect.service_min),
         "worst_member_min": (min(made.by_member.values(), default=1.0), expect.worst_member_min),
         "worst_window_min": (made.worst_window, expect.worst_window_min),
+        "dns_service_min": (made.dns_service, expect.dns_service_min),
     }
     most = {
         "refused_max": (made.refused / whole, expect.refused_max),
--- a/sagetrack/lab/real.py
+++ b/sagetrack/lab/real.py
@@ -26,6 +26,7 @@
 
 import uvloop
 
+from sagetrack.lab.dnsclients import DnsSide
 from sagetrack.lab.records import Records
 from sagetrack.lab.scenario import Scenario, Trouble, platform_settings
 from sagetrack.lab.server import Server
@@ -75,7 +76,12 @@
     """One process of a gateway."""
 
     def __init__(
-        self, folder: Path, config: dict[str, Any], listener: socket.socket | None, life: int
+        self,
+        folder: Path,
+        config: dict[str, Any],
+        listener: socket.socket | None,
+        life: int,
+        operator: str = "",
     ) -> None:
         self.file = folder / f"config-{life}.json"
         self.file.write_text(json.dumps(config))
@@ -87,7 +93,12 @@
             "TMPDIR": str(shared),
             "PYTHONPATH": str(ROOT),
         }
-        environment.pop("LB_ACCEPT_FD", None)
+        for inherited in ("LB_ACCEPT_FD", "LB_OPERATOR", "LB_ADMIN"):
+            environment.pop(inherited, None)
+        if operator:
+            file = folder / f"operator-{life}.toml"
+            file.write_text(operator)
+            environment["LB_OPERATOR"] = str(file)
         descriptors = []
         if listener is not None:
             descriptors = [listener.fileno()]
@@ -127,6 +138,9 @@
         self.processes: dict[int, list[GatewayProcess]] = {}  # the newest last
         self.listeners: dict[int, socket.socket] = {}
         self.ports: dict[int, int] = {}
+        self.dns: DnsSide | None = None
+        if world.scenario.dns.rate:
+            self.dns = DnsSide(world)
         self.ways: dict[tuple[int, int], Way] = {}  # by sender and receiver
         self.lives = 0
         self.idle: dict[int, list[ClientConnection]] = {}
@@ -207,7 +221,9 @@
         self.lives += 1
         folder = self.folder / f"g{gateway}"
         folder.mkdir(exist_ok=True)
-        process = GatewayProcess(folder, self.config(gateway), self.listeners.get(gateway), self.lives)
+        operator = self.dns.operator(gateway) if self.dns is not None else ""
+        listener = self.listeners.get(gateway)
+        process = GatewayProcess(folder, self.config(gateway), listener, self.lives, operator)
         self.processes.setdefault(gateway, []).append(process)
         return process
 
@@ -260,6 +276,8 @@
     async def start_all(self) -> None:
         if self.world.scenario.peers.use:
             await self.open_ways()
+        if self.dns is not None:
+            await self.dns.prepare()
         processes = {gateway: self.launch(gateway) for gateway in self.world.alive}
         await asyncio.gather(*(self.until_ready(gateway, process) for gateway, process in processes.items()))
 
@@ -403,6 +421,8 @@
             for gateway, processes in self.processes.items():
                 if self.world.alive[gateway]:
                     processes[-1].process.send_signal(signal.SIGHUP)
+        elif trouble.kind == "slow-dns" and self.dns is not None:
+            self.dns.slow(trouble, on)
         elif trouble.kind == "discovery-down" and not on:
             for agent in self.agents.values():
                 agent.flush()
@@ -486,6 +506,8 @@
             agent.door.close()
         for listener in self.listeners.values():
             listener.close()
+        if self.dns is not None:
+            self.dns.close()
         for way in self.ways.values():
             if way.transport is not None:
                 way.transport.close()
@@ -522,6 +544,8 @@
         records.rows = [(row[0], 0, *row[2:]) for row in records.rows]
         started, _ = gateways.usage()
         world.begin()
+        if gateways.dns is not None:
+            await gateways.dns.begin()
         whole = int(scenario.seconds * 1e6)
         longest = max(int(kind.deadline_ms * 1000) for kind in scenario.classes) + 200_000
         next_sample = 0.0
@@ -539,7 +563,8 @@
                 next_sample = now / 1e6 + sample_s
                 for server in world.servers.values():
                     records.add("load", now, server.number, server.held, len(server.running))
-            if now > whole and world.arrivals_over and not world.tries:
+            asked = gateways.dns.open if gateways.dns is not None else 0
+            if now > whole and world.arrivals_over and not world.tries and not asked:
                 break
         cpu_s, memory_mb = gateways.usage()
         records.header["gateway_cpu_s"] = round(cpu_s - started, 3)
--- a/sagetrack/lab/records.py
+++ b/sagetrack/lab/records.py
@@ -28,9 +28,11 @@
     "request": ("request", "class", "member", "outcome", "asked_us", "tries"),
     "load": ("server", "held", "busy"),
     "late": ("late_us",),
+    "dns": ("gateway", "outcome", "asked_us"),
 }
 """Fields behind kind and time. `verdict` of an answer is served, refused, failed, broken or unreachable; of a
-`recv` taken, rejected or lost. `outcome` of a request is served, late, refused, failed or unanswered."""
+`recv` taken, rejected or lost. `outcome` of a request or a DNS
+query is served, late, refused, failed or unanswered."""
 
 
 class Records:
--- a/sagetrack/lab/scenario.py
+++ b/sagetrack/lab/scenario.py
@@ -131,7 +131,7 @@
 
     kind: Literal[
         "slow", "burst", "deploy", "gateway-death", "gateway-upgrade", "discovery-down", "partition", "skew",
-        "crowd", "vanish", "spoilt", "reset", "rude", "overbook", "reload",
+        "crowd", "vanish", "spoilt", "reset", "rude", "overbook", "reload", "slow-dns",
     ]  # fmt: skip
     at_s: NotNegative
     seconds: Positive = 5.0
@@ -148,6 +148,18 @@
     warm_start: bool = True
 
 
+class DnsLoad(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """DNS beside HTTP, in real time: stand-in upstream servers and queries to all gateways."""
+
+    rate: NotNegative = 0.0  # queries a second, an open loop; 0: no DNS
+    upstreams: Count = 3
+    names: Count = 500  # that are asked for, the popular ones more often
+    ttl_s: Annotated[int, Meta(ge=0, le=86_400)] = 5
+    delay_ms: NotNegative = 5.0  # of an upstream's answer
+    aim_ms: Positive = 500.0
+    deadline_ms: Positive = 2000.0
+
+
 class Expect(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds that must hold. No rule may be broken, whatever stands here."""
 
@@ -157,6 +169,7 @@
     refused_max: Share = 1.0
     failed_max: Share = 1.0
     p99_ms_max: Positive = math.inf
+    dns_service_min: Share = 0.0
 
 
 class Gateways(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -190,6 +203,7 @@
     gateways: Gateways = msgspec.field(name="gateway", default_factory=Gateways)
     troubles: list[Trouble] = msgspec.field(name="trouble", default_factory=list)
     peers: Peers = msgspec.field(default_factory=Peers)
+    dns: DnsLoad = msgspec.field(default_factory=DnsLoad)
     expect: Expect = msgspec.field(default_factory=Expect)
 
     @property
--- a/sagetrack/lab/virtual.py
+++ b/sagetrack/lab/virtual.py
@@ -523,6 +523,8 @@
     `progress` is told the share of the run that is over. With `sample_s`, each server's load is recorded that
     often.
     """
+    if scenario.dns.rate:
+        raise ValueError(f"{scenario.name}: DNS is played in real time only")
     clock, records = SimClock(), Records()
     world = World(scenario, seed, clock, records)
     records.header["driver"] = "virtual"
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -6,7 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from sagetrack.config.platform import Config
+from sagetrack.config.platform import Config, parse_address
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
 from sagetrack.core.gateway import Gateway
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from sagetrack.config.operator import Operator
+    from sagetrack.dns.service import Service
     from sagetrack.peers.node import Node
 
 
@@ -33,6 +34,7 @@
         self.config, self.operator = config, operator
         self.node: Node | None = None
         self.handover: Handover | None = None
+        self.dns: Service | None = None
         self.pools = Pools(config.settings)
         names = [name.decode() for name in config.names.classes]
         self.gateway = Gateway(config.settings, config.seed, names, self.pools, config.known)
@@ -54,6 +56,26 @@
         listener: socket.socket = bind(config.listen) if descriptor is None else inherit(descriptor)
         self.server.start(listener, self.discovery)
         self.join_peers()
+        await self.start_dns()
+
+    async def start_dns(self) -> None:
+        """Answer DNS too, where the operator asks for it; OSError if an address cannot be had."""
+        asked = self.operator.dns if self.operator is not None else None
+        if asked is None or not asked.listen:
+            return
+        from sagetrack.dns.front import Limits
+        from sagetrack.dns.service import Plan, Service
+
+        limits = Limits(asked.queries_each, asked.queries, asked.connections, asked.connections_each)
+        plan = Plan(
+            [parse_address(place, "dns.listen") for place in asked.listen],
+            [parse_address(place, "dns.upstreams") for place in asked.upstreams],
+            asked.aim_ms * 1000, asked.deadline_ms * 1000, int(asked.cache_mb * 1024 * 1024), asked.stale_s,
+            asked.allow, asked.deny, asked.answers_per_s, limits, asked.crowd, self.config.settings.proxies,
+        )  # fmt: skip
+        self.dns = Service(plan, self.config.seed ^ 0xD5)
+        await self.dns.start()
+        self.gateway.metrics.more.append(self.dns.figures)
 
     def join_peers(self) -> None:
         """Take part in what gateways tell each other, where that is allowed or asked for."""
@@ -77,4 +99,6 @@
         """Give up everything at once."""
         self.server.close()
         self.leave_peers()
+        if self.dns is not None:
+            self.dns.close()
         self.gateway.close()
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -98,10 +98,13 @@
         await stop.wait()
         instance.leave_peers()
         leaving = loop.create_task(server.leave())
+        dns_leaving = loop.create_task(instance.dns.front.leave(loop.time() + 2.0)) if instance.dns else None
         await asyncio.sleep(0)  # the way out has begun, and it knows when it ends
         try:
             async with asyncio.timeout_at(server.drain.end_s):
                 await leaving
+                if dns_leaving is not None:
+                    await dns_leaving
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
         counts = instance.pools.counts
