Believe each word once, and open no more than a third by hearsay in all

A note for a successor is written every half second, and each time its word could open another third of the servers, also by cooldowns that were long over and by jams that a leaving process went on seeing.

Change: word that is no newer than what was believed is passed over; hearsay counts what is open already against its third; a cooldown that is over opens nothing; a jam is seen when it becomes one, not for as long as it lasts. Zones of our own in dns/zone, a fuzzer for messages and a corpus, throughput of DNS against a bare relay.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -359,6 +359,56 @@
             tell((number + 1) / (len(sizes) * len(losses)))
 
 
+@app.command("dns")
+def dns(
+    seconds: Annotated[float, typer.Option(help="of each measurement", min=0.5, max=600)] = 3.0,
+    rounds: Annotated[int, typer.Option(help="of each, by turns", min=1, max=100)] = 3,
+    names: Annotated[int, typer.Option(help="names to keep in one more run, 0: none", min=0)] = 0,
+) -> None:
+    """Measure DNS queries a second on one core, cached and forwarded, against a bare UDP relay."""
+    from sagetrack.lab.dnsthroughput import measure as measure_dns
+    from sagetrack.lab.real import LabError
+
+    try:
+        with bar("dns", False) as tell:
+            rows = measure_dns(seconds, rounds, names, lambda at, of: tell(at / of))
+    except LabError as error:
+        raise fail(str(error)) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(title=f"one core, {rounds} rounds of {seconds:g} s")
+    for name in rows[0]:
+        table.add_column(name.replace("_", " "), justify="left" if name == "what" else "right")
+    for row in rows:
+        table.add_row(*(str(value) for value in row.values()))
+    Console().print(table)
+
+
+@app.command("fuzz-dns")
+def fuzz_dns(
+    messages: Annotated[int, typer.Option(help="how many", min=1)] = 100_000,
+    seed: Annotated[int, typer.Option(help="what is spoilt follows from it", min=0)] = 1,
+) -> None:
+    """Feed mutated DNS messages to the reader; exit 1 if any breaks it or passes for what it is not."""
+    from sagetrack.lab.dnsfuzz import fuzz
+
+    try:
+        with bar("fuzz", False) as tell:
+            found = fuzz(messages, seed, tell)
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    print(
+        f"{found.messages} messages: {found.queries_read} read as queries, "
+        f"{found.answers_taken} taken as answers, {len(found.wrong)} wrong, slowest {found.slowest_ms:.2f} ms"
+    )
+    for line in found.wrong[:SHOWN]:
+        print(line)
+    raise typer.Exit(1 if found.wrong else 0)
+
+
 @app.command("restart")
 def restart(
     scenario: Annotated[str, typer.Argument(help="a scenario in which a gateway dies")],
--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -38,6 +38,15 @@
 Place = Annotated[str, Meta(pattern=r"^\S+:\d{1,5}$")]
 
 
+class ZoneSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Zones that are answered here; off without an origin or files."""
+
+    origin: str = ""
+    ttl_s: Annotated[int, Meta(ge=0, le=86_400)] = 5
+    gateways: dict[str, Place] = msgspec.field(default_factory=dict)
+    files: dict[str, str] = msgspec.field(default_factory=dict)  # by origin
+
+
 class DnsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """DNS over UDP and TCP; off without an address to listen at."""
 
@@ -55,6 +64,7 @@
     connections_each: Annotated[int, Meta(ge=1, le=10_000)] = 16
     connections: Annotated[int, Meta(ge=1, le=100_000)] = 256
     crowd: Annotated[int, Meta(ge=1, le=100_000)] = 1000
+    zone: ZoneSettings = msgspec.field(default_factory=ZoneSettings)
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -73,8 +83,9 @@
 def _across(operator: Operator) -> Iterator[Fault]:
     """What types cannot tell."""
     dns = operator.dns
-    if dns.listen and not dns.upstreams:
-        yield Fault(("dns", "upstreams"), "dns.upstreams is missing; it is a list of at least one host:port")
+    if dns.listen and not (dns.upstreams or dns.zone.origin or dns.zone.files):
+        why = "dns.upstreams is missing; it is a list of at least one host:port, or there is a dns.zone"
+        yield Fault(("dns", "upstreams"), why)
     if dns.aim_ms > dns.deadline_ms:
         yield Fault(("dns", "aim_ms"), f"dns.aim_ms = {dns.aim_ms} is above deadline_ms = {dns.deadline_ms}")
     for key in ("allow", "deny"):
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -19,7 +19,7 @@
     ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList,
     ServerStatus, SetTimer, Settings, Sharing, StreamStarted, TimerFired, WatchList,
 )
-from sagetrack.decide.knowledge import CLOSED, HALF_OPEN, OPEN, Latency, Sight, advise
+from sagetrack.decide.knowledge import CLOSED, HALF_OPEN, MOST_OPEN, OPEN, Latency, Sight, advise
 from sagetrack.decide.shares import sharers
 
 # The breaker
@@ -271,6 +271,7 @@
         self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
         self.answers = [0] * len(classes)  # good ones, that these follow from
+        self.heard: dict[tuple[int, int], tuple[int, int]] = {}  # by server and seer: the newest word's rank
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
         self.regular = [1.0] * len(classes)  # share of the tries of late that are given that
@@ -868,8 +869,9 @@
         for number, s in self.servers.items():
             spent_us = int(s.spent_us) if self.now_us < s.warm_at_us else 0
             if s.judged_us or spent_us:
-                jammed = bool(s.out) and self.now_us - next(iter(s.out.values())) > self.silent_us
-                seen_us = self.now_us if jammed else s.judged_us
+                oldest_us = next(iter(s.out.values())) if s.out else self.now_us
+                jammed = self.now_us - oldest_us > self.silent_us
+                seen_us = max(s.judged_us, oldest_us + int(self.silent_us)) if jammed else s.judged_us
                 sights.append(Sight(
                     number, s.entry.started_us, self.settings.proxy, seen_us, states[s.breaker.state],
                     s.breaker.open_until_us, s.weight, jammed, spent_us,
@@ -883,16 +885,21 @@
         Guards against a start that knows nothing: it would feed a slow server until its ring is full.
         """
         ready = {s.entry.server: s.entry.started_us for s in self.ranked}
+        known = {key: value for key, value in self.heard.items() if key[0] in self.servers}
+        news = [s for s in event.sights if known.get((s.server, s.by), (-1, 0)) < (s.started_us, s.seen_us)]
+        self.heard = known | {(s.server, s.by): (s.started_us, s.seen_us) for s in news}
+        room = int(MOST_OPEN * len(ready)) - sum(s.breaker.state is not State.CLOSED for s in self.ranked)
         for sight in event.sights:
-            known = self.servers.get(sight.server)
-            if sight.by == self.settings.proxy and known and known.entry.started_us == sight.started_us:
-                known.spent_us = max(known.spent_us, sight.spent_us)  # it was this proxy that spent it
-        for advice in advise(event.sights, ready, self.now_us):
+            own = self.servers.get(sight.server)
+            if sight.by == self.settings.proxy and own and own.entry.started_us == sight.started_us:
+                own.spent_us = max(own.spent_us, sight.spent_us)  # it was this proxy that spent it
+        for advice in advise(news, ready, self.now_us):
             server = self.servers[advice.server]
             if server.judged_us and self.now_us - server.judged_us < OWN_US:
                 continue
             server.weight += advice.trust * (min(CEILING, max(FLOOR, advice.weight)) - server.weight)
-            if advice.open_us >= 0 and server.breaker.state is State.CLOSED:
+            if advice.open_us > 0 and room > 0 and server.breaker.state is State.CLOSED:
+                room -= 1
                 server.breaker.open(self.now_us)
                 server.breaker.open_until_us = self.now_us + min(advice.open_us, LONGEST_COOLDOWN_US)
         for told in event.latencies:
--- a/sagetrack/decide/knowledge.py
+++ b/sagetrack/decide/knowledge.py
@@ -16,6 +16,8 @@
 MOST_OPEN = 1 / 3  # of the ready servers that hearsay may take out of use
 BELIEVED = 0.3  # trust below which word opens no breaker
 
+JAM_US = 250_000  # a server that was jammed is left alone for
+
 CLOSED, OPEN, HALF_OPEN = 0, 1, 2
 
 
@@ -105,7 +107,9 @@
         believed = sum(w for w, _ in bad)
         open_us = -1
         if believed > total / 2 and believed >= BELIEVED:
-            open_us = max(max(0, s.open_until_us - now_us) if s.state == OPEN else 0 for _, s in bad)
+            left_us = max(s.open_until_us - now_us if s.state == OPEN else 0 for _, s in bad)
+            # One that was jammed is left alone for a moment; a cooldown that is over says nothing any more.
+            open_us = left_us if left_us > 0 else JAM_US if any(s.jammed for _, s in bad) else -1
         advice.append(Advice(server, min(1.0, max(w for w, _ in words)), mean, open_us))
     advice.sort(key=lambda a: (-a.open_us, a.weight, a.server))
     most = int(MOST_OPEN * len(lives))
--- a/sagetrack/dns/front.py
+++ b/sagetrack/dns/front.py
@@ -37,7 +37,7 @@
 IDLE_S = 10.0  # of a TCP connection with nothing to do
 STUCK_S = 3.0  # an answer is not being read
 HIGH = 128 * 1024  # bytes of answers that wait to be read: nothing more is taken until there are fewer
-Own = Callable[[Query], bytes | None]  # an answer of our own zones
+Own = Callable[[Query], Answer | None]  # an answer of our own zones
 
 
 @dataclass(slots=True)
@@ -97,9 +97,10 @@
         limits: Limits,
         patience_us: int,
         own: Own = lambda query: None,
+        forwards: bool = True,
     ) -> None:  # fmt: skip
         self.gateway, self.cache, self.access, self.rate, self.limits = gateway, cache, access, rate, limits
-        self.patience_us, self.own = patience_us, own
+        self.patience_us, self.own, self.forwards = patience_us, own, forwards
         self.loop = asyncio.get_running_loop()
         self.counts = FrontCounts()
         self.in_work = InWork(limits.each, limits.total)
@@ -150,7 +151,16 @@
         own = self.own(query)
         if own is not None:
             self.counts.answered += 1
-            self.give(waiter, own if len(own) <= limit else error(query, Rcode.NOERROR, flags=TC))
+            self.give(waiter, reply(query, own, limit))
+            return True
+        if not self.gateway.can_serve:
+            self.counts.refused += 1
+            code, why = (
+                (Rcode.SERVFAIL, Extended.NOT_READY)
+                if self.forwards
+                else (Rcode.REFUSED, Extended.NOT_AUTHORITATIVE)
+            )
+            self.give(waiter, error(query, code, why))
             return True
         now = now_us()
         hit = self.cache.get(query.subject, now)
--- a/sagetrack/dns/service.py
+++ b/sagetrack/dns/service.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Address, stable_id
 from sagetrack.core.calls import Entry
@@ -14,9 +15,22 @@
 from sagetrack.dns.front import Front, Limits
 from sagetrack.dns.limits import Access, ResponseRate
 
+if TYPE_CHECKING:
+    from sagetrack.dns.zone import Zones
+
 CLASS = "query"
 
 
+@dataclass(slots=True, frozen=True)
+class ZonePlan:
+    """Zones that are answered here."""
+
+    origin: str = ""
+    ttl_s: int = 5
+    gateways: Sequence[tuple[str, Address]] = ()
+    files: Sequence[tuple[str, str]] = ()  # origin and path
+
+
 @dataclass(slots=True, frozen=True)
 class Plan:
     """What an installation asks for."""
@@ -33,6 +47,7 @@
     limits: Limits = field(default_factory=Limits)
     crowd: int = 1000  # attempts that one upstream server holds at the most
     gateways: int = 1
+    zone: ZonePlan | None = None
 
 
 def settings(plan: Plan) -> Settings:
@@ -48,8 +63,19 @@
 class Service:
     """Made on a running loop."""
 
-    def __init__(self, plan: Plan, seed: int) -> None:
+    def __init__(
+        self, plan: Plan, seed: int, weights: Callable[[], Mapping[str, float]] = dict, serial: int = 1
+    ) -> None:
         self.plan = plan
+        self.zones: Zones | None = None
+        if plan.zone is not None:
+            from sagetrack.dns.zone import Member, Zones  # with dnspython, which only zones need
+
+            gateways = [Member(name, *place) for name, place in plan.zone.gateways]
+            self.zones = Zones(
+                plan.zone.origin, seed, plan.zone.ttl_s, plan.zone.ttl_s, gateways, plan.zone.files,
+                serial, weights,
+            )  # fmt: skip
         made = settings(plan)
         self.back = Upstreams(made)
         self.gateway = Gateway(made, seed, [CLASS], self.back, {})
@@ -57,6 +83,7 @@
         self.front = Front(
             self.gateway, self.cache, Access(plan.allow, plan.deny), ResponseRate(plan.answers_per_s),
             plan.limits, plan.deadline_us,
+            self.zones.answer if self.zones is not None else lambda query: None, bool(plan.upstreams),
         )  # fmt: skip
 
     async def start(self) -> list[Address]:
@@ -72,6 +99,13 @@
             entries.append(Entry(name, (host, port), ListedServer(stable_id(name, 4))))
         self.gateway.on_list(ListKind.FULL, entries)
 
+    def list_servers(self, servers: Iterable[tuple[str, Address, float]]) -> None:
+        """Name, address and listed weight of the servers that are ready now, for our own zone."""
+        if self.zones is not None:
+            from sagetrack.dns.zone import Member
+
+            self.zones.update(Member(name, *place, weight) for name, place, weight in servers)
+
     def figures(self) -> dict[str, int]:
         """For the stats."""
         front, cache, back = self.front.counts, self.cache, self.back.counts
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -6,7 +6,8 @@
 import socket
 from typing import TYPE_CHECKING
 
-from sagetrack.config.platform import Config, parse_address
+from sagetrack.config.platform import Config, ConfigError, parse_address
+from sagetrack.core.clock import now_us
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
 from sagetrack.core.gateway import Gateway
@@ -21,6 +22,8 @@
     from sagetrack.dns.service import Service
     from sagetrack.peers.node import Node
 
+ZONE_S = 1.0  # between looks at what our own zone follows
+
 
 async def _ask_discovery(address: tuple[str, int]) -> HttpLine:
     return await connect(address, CallError)
@@ -35,6 +38,7 @@
         self.node: Node | None = None
         self.handover: Handover | None = None
         self.dns: Service | None = None
+        self.zone_timer: asyncio.TimerHandle | None = None
         self.pools = Pools(config.settings)
         names = [name.decode() for name in config.names.classes]
         self.gateway = Gateway(config.settings, config.seed, names, self.pools, config.known)
@@ -64,19 +68,50 @@
         if asked is None or not asked.listen:
             return
         from sagetrack.dns.front import Limits
-        from sagetrack.dns.service import Plan, Service
+        from sagetrack.dns.service import Plan, Service, ZonePlan
 
+        own = asked.zone
+        zone = None
+        if own.origin or own.files:
+            places = own.gateways.items()
+            gateways = [(name, parse_address(place, "dns.zone.gateways")) for name, place in places]
+            zone = ZonePlan(own.origin, own.ttl_s, gateways, list(own.files.items()))
         limits = Limits(asked.queries_each, asked.queries, asked.connections, asked.connections_each)
         plan = Plan(
             [parse_address(place, "dns.listen") for place in asked.listen],
             [parse_address(place, "dns.upstreams") for place in asked.upstreams],
             asked.aim_ms * 1000, asked.deadline_ms * 1000, int(asked.cache_mb * 1024 * 1024), asked.stale_s,
             asked.allow, asked.deny, asked.answers_per_s, limits, asked.crowd, self.config.settings.proxies,
+            zone,
         )  # fmt: skip
-        self.dns = Service(plan, self.config.seed ^ 0xD5)
+        try:
+            self.dns = Service(plan, self.config.seed ^ 0xD5, self.server_weights, now_us() // 1_000_000)
+        except ValueError as error:  # a zone that cannot be read
+            raise ConfigError(f"dns.zone: {error}") from None
         await self.dns.start()
+        if zone is not None:
+            self.follow_zone()
         self.gateway.metrics.more.append(self.dns.figures)
 
+    def server_weights(self) -> dict[str, float]:
+        """What the module makes of each server now."""
+        known = self.gateway.balancer.servers
+        return {
+            host.name: known[number].weight for number, host in self.pools.hosts.items() if number in known
+        }
+
+    def follow_zone(self) -> None:
+        """Let our own zone follow the list of servers, and its order their weights."""
+        assert self.dns is not None
+        self.zone_timer = asyncio.get_running_loop().call_later(ZONE_S, self.follow_zone)
+        ready = [host for host in self.pools.hosts.values() if host.drained_us is None]
+        known = self.gateway.balancer.servers
+        self.dns.list_servers(
+            (host.name, host.address, known[host.id].entry.weight) for host in ready if host.id in known
+        )
+        if self.dns.zones is not None:
+            self.dns.zones.turn_orders()
+
     def join_peers(self) -> None:
         """Take part in what gateways tell each other, where that is allowed or asked for."""
         config, gateway = self.config, self.gateway
@@ -99,6 +134,8 @@
         """Give up everything at once."""
         self.server.close()
         self.leave_peers()
+        if self.zone_timer is not None:
+            self.zone_timer.cancel()
         if self.dns is not None:
             self.dns.close()
         self.gateway.close()
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -6,12 +6,14 @@
 import contextlib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
 import dns.edns
 import dns.flags
 import dns.message
 import dns.rcode
+import dns.rdatatype
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -29,8 +31,10 @@
     reply,
     upstream_query,
 )
-from sagetrack.dns.service import Plan, Service
+from sagetrack.dns.service import Plan, Service, ZonePlan
+from sagetrack.dns.zone import Member, ZoneError, Zones
 from sagetrack.lab.dns import Manner, Nameserver, nameserver
+from sagetrack.lab.dnsfuzz import Found, examine, fuzz, seeds
 from tests.sockets import on_loop, until
 
 
@@ -399,3 +403,119 @@
             await client.ask(query(f"n{number}.example."))
         assert one.udp_queries == before and two.udp_queries == 20
         client.transport.close()
+
+
+def test_mutated_messages_of_a_fixed_seed_break_nothing() -> None:
+    found = fuzz(20_000, 5)
+    assert not found.wrong and found.queries_read > 500 and found.answers_taken > 500
+
+
+@pytest.mark.parametrize("line", (Path(__file__).parent / "corpus" / "dns.txt").read_text().split())
+def test_the_corpus_is_read_without_harm(line: str) -> None:
+    found = Found()
+    for _, known, id_ in seeds():
+        examine(bytes.fromhex(line), known, id_, found)
+    assert not found.wrong
+
+
+# Zones of our own
+
+
+def asked(name: str, kind: str = "A") -> Any:
+    return parse_query(query(name, kind))
+
+
+def said(zones: Zones, name: str, kind: str = "A") -> dns.message.Message:
+    made = asked(name, kind)
+    answer = zones.answer(made)
+    assert answer is not None
+    return dns.message.from_wire(reply(made, answer, 65_535))
+
+
+SERVERS = [
+    Member("s-1", "192.0.2.1", 8081),
+    Member("S_2", "192.0.2.2", 8082, 2.0),
+    Member("s-6", "2001:db8::6", 80),
+]
+
+
+def made_zones(**more: Any) -> Zones:
+    zones = Zones("sur.example.", 1, gateways=[Member("g1", "198.51.100.1", 80)], **more)
+    zones.update(SERVERS)
+    return zones
+
+
+def test_the_zone_has_servers_gateways_services_and_reverse_names() -> None:
+    zones = made_zones()
+    assert {r.to_text() for r in said(zones, "servers.sur.example.").answer[0]} == {"192.0.2.1", "192.0.2.2"}
+    assert said(zones, "SERVERS.sur.example.", "AAAA").answer[0][0].to_text() == "2001:db8::6"
+    assert said(zones, "s-2.servers.sur.example.").answer[0][0].to_text() == "192.0.2.2"
+    assert said(zones, "gateways.sur.example.").answer[0][0].to_text() == "198.51.100.1"
+    services = {r.to_text() for r in said(zones, "_http._tcp.servers.sur.example.", "SRV").answer[0]}
+    assert "0 200 8082 s-2.servers.sur.example." in services and len(services) == 3
+    pointer = said(zones, "1.2.0.192.in-addr.arpa.", "PTR")
+    assert pointer.answer[0][0].to_text() == "s-1.servers.sur.example."
+    assert zones.answer(asked("www.other.example.")) is None
+
+
+def test_what_is_not_there_is_denied_with_the_soa_and_empty_names_exist() -> None:
+    zones = made_zones()
+    none = said(zones, "s-9.servers.sur.example.")
+    empty = said(zones, "_tcp.servers.sur.example.")
+    other = said(zones, "s-1.servers.sur.example.", "MX")
+    assert none.rcode() == dns.rcode.NXDOMAIN and empty.rcode() == other.rcode() == dns.rcode.NOERROR
+    for message in (none, empty, other):
+        assert not message.answer and message.authority[0].rdtype == dns.rdatatype.SOA
+        assert message.flags & dns.flags.AA
+
+
+def test_the_serial_rises_with_the_list_alone_and_who_leaves_is_gone() -> None:
+    zones = made_zones(serial=2**32 - 1)
+    first = zones.serial
+    assert not zones.update(list(reversed(SERVERS))) and zones.serial == first
+    assert zones.update(SERVERS[1:]) and zones.serial == first + 1
+    assert said(zones, "s-1.servers.sur.example.").rcode() == dns.rcode.NXDOMAIN
+    assert said(zones, "sur.example.", "SOA").answer[0][0].serial == zones.serial
+
+
+def test_the_order_of_servers_follows_their_weights() -> None:
+    weights = {"a": 1.0, "b": 0.05}
+    zones = Zones("z.example.", 3, weights=lambda: weights)
+    zones.update([Member("a", "192.0.2.1", 1), Member("b", "192.0.2.2", 1)])
+    first = 0
+    for _ in range(40):
+        zones.turn_orders()
+        heads = [said(zones, "servers.z.example.").answer[0][0].to_text() for _ in range(8)]
+        first += heads.count("192.0.2.1")
+    assert 0.85 < first / 320 < 1.0
+
+
+def test_a_zone_file_is_served_and_a_bad_one_named(tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.zone", tmp_path / "bad.zone"
+    soa = "@ 300 IN SOA ns root 1 60 60 60 60\n@ 300 IN NS ns\nns 300 IN A 192.0.2.53\n"
+    good.write_text(soa + "www 300 IN CNAME host\nhost 300 IN A 192.0.2.80\n")
+    zones = Zones("", 1, files=[("static.example.", str(good))])
+    message = said(zones, "www.static.example.")
+    assert [rrset.rdtype for rrset in message.answer] == [dns.rdatatype.CNAME, dns.rdatatype.A]
+    bad.write_text("@ 300 IN A not-an-address\n")
+    for path in (bad, tmp_path / "none"):
+        with pytest.raises(ZoneError, match=str(path)):
+            Zones("", 1, files=[("static.example.", str(path))])
+
+
+@on_loop
+async def test_our_zone_and_the_others_are_answered_by_one_front() -> None:
+    plan = {"zone": ZonePlan("sur.example.")}
+    async with nameserver() as upstream, serving(upstream, **plan) as (service, place):
+        service.list_servers([("s-1", ("192.0.2.7", 80), 1.0)])
+        client = await Client.to(place)
+        own = await client.ask(query("servers.sur.example."))
+        other = await client.ask(query("else.example."))
+        assert own.answer[0][0].to_text() == "192.0.2.7" and other.answer[0][0].to_text() == "192.0.2.1"
+        assert upstream.udp_queries == 1
+        client.transport.close()
+    async with serving(**plan) as (service, place):
+        client = await Client.to(place)
+        refused = await client.ask(query("else.example.", use_edns=0))
+        assert refused.rcode() == dns.rcode.REFUSED and codes(refused) == [20]
+        client.transport.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -123,6 +123,27 @@
     assert any(driver.arrive()[1])
 
 
+def test_word_that_comes_again_is_believed_once_and_opens_no_more_in_all() -> None:
+    driver = Driver(servers=9)
+    for first in (0, 3, 6, 0, 3, 6):
+        three = range(first, first + 3)
+        told = tuple(Sight(n, 0, 2, START_US, OPEN, START_US + 8_000_000, 0.05) for n in three)
+        driver.handle(Learned(told))
+    servers = driver.balancer.servers.values()
+    assert sum(s.breaker.state is State.OPEN for s in servers) == 3
+    again = Driver(servers=9)
+    again.handle(Learned((Sight(1, 0, 2, START_US, CLOSED, 0, 0.5),)))
+    again.balancer.servers[1].weight = 1.0
+    again.handle(Learned((Sight(1, 0, 2, START_US, CLOSED, 0, 0.5),)))
+    assert again.balancer.servers[1].weight == 1.0
+
+
+def test_a_cooldown_that_is_over_opens_nothing() -> None:
+    driver = Driver(servers=9)
+    driver.handle(Learned((Sight(1, 0, 2, START_US - 3_000_000, OPEN, START_US - 1, 0.05),)))
+    assert driver.balancer.servers[1].breaker.state is State.CLOSED
+
+
 def test_another_life_at_the_same_id_is_not_judged_by_the_earlier_one() -> None:
     driver = Driver(servers=0)
     driver.list_servers(ListedServer(1, started_us=START_US))
