--- a/sagetrack/core/structured.py
+++ b/sagetrack/core/structured.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from sagetrack.core.log import LEVELS, Bound, Sink, use
+from sagetrack.core.log import LEVELS, Sink
 
 CLASS = "class"  # fields are named in `log` as Python allows, in lines as operators know them
 
@@ -35,8 +35,3 @@
             logger._proxy_to_logger("msg", event, level=of, **named)
 
     return write
-
-
-def switch_on(form: str, level: str, gateway: str, burst: float, rate: float) -> None:
-    """Log in this form from now on."""
-    use(sink(form, level, gateway), Bound(burst, rate))
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -19,7 +19,9 @@
     ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList,
     ServerStatus, SetTimer, Settings, Sharing, StreamStarted, TimerFired, WatchList,
 )
-from sagetrack.decide.knowledge import CLOSED, HALF_OPEN, MOST_OPEN, OPEN, Latency, Sight, advise
+from sagetrack.decide.knowledge import (
+    CLOSED, HALF_OPEN, MOST_OPEN, OLDEST_US, OPEN, Latency, Sight, advise, join,
+)
 from sagetrack.decide.shares import sharers
 
 # The breaker
@@ -272,7 +274,7 @@
         self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
         self.answers = [0] * len(classes)  # good ones, that these follow from
-        self.heard: dict[tuple[int, int], tuple[int, int]] = {}  # by server and seer: the newest word's rank
+        self.heard: dict[tuple[int, int], Sight] = {}  # by server and seer
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
         self.regular = [1.0] * len(classes)  # share of the tries of late that are given that
@@ -894,21 +896,22 @@
         Guards against a start that knows nothing: it would feed a slow server until its ring is full.
         """
         ready = {s.entry.server: s.entry.started_us for s in self.ranked}
-        known = {key: value for key, value in self.heard.items() if key[0] in self.servers}
-        news = [s for s in event.sights if known.get((s.server, s.by), (-1, 0)) < (s.started_us, s.seen_us)]
-        self.heard = known | {(s.server, s.by): (s.started_us, s.seen_us) for s in news}
+        joined = join(self.heard.values(), event.sights)
+        news = {key[0] for key, sight in joined.items() if self.heard.get(key) != sight}
+        oldest_us = self.now_us - OLDEST_US
+        self.heard = {k: s for k, s in joined.items() if k[0] in self.servers and s.seen_us > oldest_us}
+        words = [sight for sight in self.heard.values() if sight.server in news]  # of all who spoke of it
         room = int(MOST_OPEN * len(ready)) - sum(s.breaker.state is not State.CLOSED for s in self.ranked)
         for sight in event.sights:
             own = self.servers.get(sight.server)
             if sight.by == self.settings.proxy and own and own.entry.started_us == sight.started_us:
                 own.spent_us = max(own.spent_us, sight.spent_us)  # it was this proxy that spent it
-        for advice in advise(news, ready, self.now_us):
+        for advice in advise(words, ready, self.now_us, max(0, room)):
             server = self.servers[advice.server]
             if server.judged_us and self.now_us - server.judged_us < OWN_US:
                 continue
             server.weight += advice.trust * (min(CEILING, max(FLOOR, advice.weight)) - server.weight)
-            if advice.open_us > 0 and room > 0 and server.breaker.state is State.CLOSED:
-                room -= 1
+            if advice.open_us > 0 and server.breaker.state is State.CLOSED:
                 server.breaker.open(self.now_us)
                 server.breaker.open_until_us = self.now_us + min(advice.open_us, LONGEST_COOLDOWN_US)
         for told in event.latencies:
--- a/sagetrack/decide/knowledge.py
+++ b/sagetrack/decide/knowledge.py
@@ -53,8 +53,6 @@
     unhindered_us: float
 
 
-Knowledge = Mapping[tuple[int, int], Sight]  # by server and seer
-
 
 def join(*all_: Iterable[Sight]) -> dict[tuple[int, int], Sight]:
     """Everything that is known from several sources, whatever their order and however often they come."""
@@ -85,9 +83,11 @@
     return float(0.5 ** (max(0, age_us) / HALF_LIFE_US))
 
 
-def advise(sights: Iterable[Sight], lives: Mapping[int, int], now_us: int) -> list[Advice]:
+def advise(sights: Iterable[Sight], lives: Mapping[int, int], now_us: int, most: int) -> list[Advice]:
     """Weigh what was heard of the ready servers, whose lives are given as when each started; the worst first.
 
+    No more than `most` of them are to be opened.
+
     Guards against word of a server that is not ready or not listed, of an earlier life at the same id, and
     against a peer that calls every server bad: what hearsay takes out of use is bounded, and by the majority
     of what is believed; a low weight of all of them alike changes nothing in a draw.
@@ -112,7 +112,6 @@
             open_us = left_us if left_us > 0 else JAM_US if any(s.jammed for _, s in bad) else -1
         advice.append(Advice(server, min(1.0, max(w for w, _ in words)), mean, open_us))
     advice.sort(key=lambda a: (-a.open_us, a.weight, a.server))
-    most = int(MOST_OPEN * len(lives))
     return [
         a if place < most or a.open_us < 0 else Advice(a.server, a.trust, a.weight, -1)
         for place, a in enumerate(advice)
--- a/sagetrack/dns/front.py
+++ b/sagetrack/dns/front.py
@@ -113,14 +113,18 @@
         self.connections: dict[TcpClient, None] = {}  # the longest idle first
         self.draining = False
 
-    async def start(self, addresses: list[Address]) -> list[Address]:
+    async def start(self, addresses: list[Address], shared: bool = False) -> list[Address]:
         """Listen over UDP and TCP at each; OSError if that cannot be. Returns where, ports chosen."""
         bound = []
         for host, port in addresses:
-            tcp = await self.loop.create_server(lambda: TcpClient(self), host, port, backlog=256)
+            tcp = await self.loop.create_server(
+                lambda: TcpClient(self), host, port, backlog=256, reuse_port=shared
+            )
             self.tcp.append(tcp)
             port = tcp.sockets[0].getsockname()[1]
-            udp, _ = await self.loop.create_datagram_endpoint(lambda: UdpFront(self), (host, port))
+            udp, _ = await self.loop.create_datagram_endpoint(
+                lambda: UdpFront(self), (host, port), reuse_port=shared
+            )
             self.udp.append(udp)
             bound.append((host, port))
         return bound
--- a/sagetrack/dns/service.py
+++ b/sagetrack/dns/service.py
@@ -92,11 +92,11 @@
             self.zones.answer if self.zones is not None else lambda query: None, bool(plan.upstreams),
         )  # fmt: skip
 
-    async def start(self) -> list[Address]:
-        """Listen; OSError if an address cannot be had."""
+    async def start(self, shared: bool = False) -> list[Address]:
+        """Listen; OSError if an address cannot be had. `shared` with another process, as at an upgrade."""
         self.list_upstreams(self.plan.upstreams)
         self.tend()
-        return await self.front.start(list(self.plan.listen))
+        return await self.front.start(list(self.plan.listen), shared)
 
     def tend(self) -> None:
         """Take what the cache keeps out of the collector's sight.
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -63,7 +63,7 @@
         await self.start_dns()
 
     async def start_dns(self) -> None:
-        """Answer DNS too, where the operator asks for it; OSError if an address cannot be had."""
+        """Answer DNS too, where the operator asks for it; ConfigError if that cannot be."""
         asked = self.operator.dns if self.operator is not None else None
         if asked is None or not asked.listen:
             return
@@ -88,7 +88,10 @@
             self.dns = Service(plan, self.config.seed ^ 0xD5, self.server_weights, now_us() // 1_000_000)
         except ValueError as error:  # a zone that cannot be read
             raise ConfigError(f"dns.zone: {error}") from None
-        await self.dns.start()
+        try:
+            await self.dns.start(shared=self.config.accept_fd is not None)
+        except OSError as error:
+            raise ConfigError(f"dns.listen {', '.join(asked.listen)}: {error.strerror or error}") from None
         if zone is not None:
             self.follow_zone()
         self.gateway.metrics.more.append(self.dns.figures)
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -28,10 +28,14 @@
             print(f"sagetrack: {fault}", file=sys.stderr)
         return None
     log = operator.log
-    if log.format != "plain":
-        from sagetrack.core.structured import switch_on
+    from sagetrack.core.log import Bound, levels_from, plain, use
 
-        switch_on(log.format, log.level, gateway, log.burst, log.rate)
+    if log.format == "plain":
+        use(levels_from(log.level, plain), Bound(log.burst, log.rate))
+    else:
+        from sagetrack.core.structured import sink
+
+        use(sink(log.format, log.level, gateway), Bound(log.burst, log.rate))
     return operator
 
 
@@ -83,12 +87,12 @@
             address = config.listen
             await instance.start()
         except ConfigError as error:
-            log(str(error))
+            log(str(error), "error")
             return 2
         except OSError as error:
             assert address is not None
             why = os.strerror(error.errno) if error.errno else str(error)
-            log(f"cannot listen on {address[0]}:{address[1]}: {why}")
+            log(f"cannot listen on {address[0]}:{address[1]}: {why}", "error")
             instance.overlap.leave()
             return 1
         if early:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -163,3 +163,12 @@
 def test_too_few_descriptors_are_said_before_anything_starts() -> None:
     with pytest.raises(LabError, match="descriptors are needed"):
         need_files(10**9)
+
+
+def test_what_ends_the_start_is_said_at_the_highest_level_too(tmp_path: Path) -> None:
+    config, operator = tmp_path / "c.json", tmp_path / "o.toml"
+    elsewhere = {"listen": "192.0.2.1:1"}  # no address of this machine
+    config.write_text(json.dumps(configuration("127.0.0.1:1") | elsewhere))
+    operator.write_text('[log]\nlevel = "error"\n')
+    done = command(LB_CONFIG=str(config), LB_OPERATOR=str(operator))
+    assert done.returncode == 1 and "cannot listen on 192.0.2.1:1" in done.stderr
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -401,7 +401,7 @@
                         await writer.drain()
 
         task = asyncio.create_task(flood())
-        await until(lambda: any(c.stuck for c in service.front.connections) or not service.front.connections)
+        await until(lambda: any(c.stuck for c in service.front.connections))
         held = [c.transport.get_write_buffer_size() for c in service.front.connections if c.transport]
         assert all(size < 1_000_000 for size in held)
         task.cancel()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -47,6 +47,13 @@
     }  # fmt: skip
 
 
+def test_the_plain_log_heeds_a_level(capsys: pytest.CaptureFixture[str]) -> None:
+    use(module.levels_from("warning", module.plain))
+    log("hidden")
+    log("shown", "warning")
+    assert capsys.readouterr().err == "sagetrack: shown\n"
+
+
 def test_the_plain_line_is_as_it_was(capsys: pytest.CaptureFixture[str]) -> None:
     log("ends; connections to hosts: 3")
     assert capsys.readouterr().err == "sagetrack: ends; connections to hosts: 3\n"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,7 +13,7 @@
 
 from sagetrack.decide.balance import COOLDOWN_US, FALL_MARGIN, State
 from sagetrack.decide.interface import Fellows, Learned, ListedServer, ListKind, Outcome, ServerStatus
-from sagetrack.decide.knowledge import CLOSED, MOST_OPEN, OPEN, Latency, Sight, advise, join, trust
+from sagetrack.decide.knowledge import CLOSED, OPEN, Latency, Sight, advise, join, trust
 from sagetrack.decide.shares import sharers
 from sagetrack.lab.membership import Fleet, death, partition
 from sagetrack.lab.restart import pairs
@@ -70,8 +70,9 @@
 @given(st.lists(SIGHTS, max_size=40))
 def test_hearsay_takes_a_bounded_part_out_of_use(sights: list[Sight]) -> None:
     lives = {1: 0, 2: 0, 3: 5_000_000, 9: 0}
-    advice = advise(sights, lives, NOW)
-    assert sum(a.open_us >= 0 for a in advice) <= MOST_OPEN * len(lives)
+    for most in range(4):
+        advice = advise(sights, lives, NOW, most)
+        assert sum(a.open_us >= 0 for a in advice) <= most
     assert {a.server for a in advice} <= {1, 2, 3}
 
 
@@ -80,8 +81,8 @@
     lives = dict.fromkeys(range(1, 7), 0)
     bad = Sight(1, 0, 0, NOW, OPEN, NOW + 500_000, 0.05)
     good = [Sight(1, 0, by, NOW, CLOSED, 0, 1.0) for by in (1, 2)]
-    (alone,) = advise([bad], lives, NOW)
-    (outvoted,) = advise([bad, *good], lives, NOW)
+    (alone,) = advise([bad], lives, NOW, 2)
+    (outvoted,) = advise([bad, *good], lives, NOW, 2)
     assert alone.open_us == 500_000 and outvoted.open_us == -1 and outvoted.weight > 0.6
 
 
@@ -138,6 +139,13 @@
     assert again.balancer.servers[1].weight == 1.0
 
 
+def test_word_of_several_is_weighed_together_though_it_comes_one_by_one() -> None:
+    driver = Driver(servers=9)
+    for by, state in ((1, CLOSED), (2, CLOSED), (3, OPEN)):
+        driver.handle(Learned((Sight(1, 0, by, START_US, state, START_US + 9_000_000, 1.0),)))
+    assert driver.balancer.servers[1].breaker.state is State.CLOSED
+
+
 def test_a_cooldown_that_is_over_opens_nothing() -> None:
     driver = Driver(servers=9)
     driver.handle(Learned((Sight(1, 0, 2, START_US - 3_000_000, OPEN, START_US - 1, 0.05),)))
