Read processes and find ports in one place of the lab

Need: three modules of the lab each read CPU and memory of a process and looked for a free port, one of them through another's private names; CPU came in ticks of 10 ms in one and in nanoseconds in the other.

Change: lab/measure has them; the real driver, throughput and DNS throughput use it.

--- a/sagetrack/lab/dnsthroughput.py
+++ b/sagetrack/lab/dnsthroughput.py
@@ -22,8 +22,9 @@
 
 from sagetrack.lab.dnsclients import wire_query
 from sagetrack.lab.figures import histogram
+from sagetrack.lab.measure import cpu_s, free_port, memory_mb
 from sagetrack.lab.real import ROOT, LabError
-from sagetrack.lab.throughput import _configuration, _cpu_s, _free_port, _memory_mb
+from sagetrack.lab.throughput import configuration
 
 WINDOW = 64  # queries out at once
 SOCKETS = 8
@@ -209,7 +210,7 @@
 
 
 def _round(what: str, core: int, upstream: int, seconds: float, names: int) -> Result:
-    port = _free_port()
+    port = free_port()
     with tempfile.TemporaryDirectory(prefix="sagetrack-lab-") as folder:
         environment = os.environ | {"PYTHONPATH": str(ROOT), "TMPDIR": folder}
         if what == "relay":
@@ -217,7 +218,7 @@
             command = [sys.executable, "-c", code]
         else:
             config, operator = Path(folder) / "config.json", Path(folder) / "operator.toml"
-            plain = _configuration(_free_port(), [_free_port()], _free_port(), _free_port())
+            plain = configuration(free_port(), [free_port()], free_port(), free_port())
             config.write_text(json.dumps(plain))
             operator.write_text(
                 f'[dns]\nlisten = ["127.0.0.1:{port}"]\nupstreams = ["127.0.0.1:{upstream}"]\n'
@@ -234,9 +235,9 @@
 
             async def measure() -> tuple[_Run, float, float]:
                 await _load(port, min(0.5, seconds / 3), False)
-                before, began = _cpu_s(process.pid), time.monotonic()
+                before, began = cpu_s(process.pid), time.monotonic()
                 run = await _load(port, seconds if not names else 600.0, what == "forwarded", names)
-                return run, _cpu_s(process.pid) - before, time.monotonic() - began - 0.1
+                return run, cpu_s(process.pid) - before, time.monotonic() - began - 0.1
 
             run, cpu, took = uvloop.run(measure())
             if run.bad > 0.01 * max(1, run.done):
@@ -244,7 +245,7 @@
             return Result(
                 what, run.done / took, cpu * 1e6 / max(1, run.done),
                 run.times.get_value_at_percentile(50) / 1000, run.times.get_value_at_percentile(99) / 1000,
-                _memory_mb(process.pid), run.lost,
+                memory_mb(process.pid), run.lost,
             )  # fmt: skip
         finally:
             process.kill()
--- a/sagetrack/lab/real.py
+++ b/sagetrack/lab/real.py
@@ -27,6 +27,7 @@
 import uvloop
 
 from sagetrack.lab.dnsclients import DnsSide
+from sagetrack.lab.measure import cpu_s, free_port, memory_mb
 from sagetrack.lab.records import Records
 from sagetrack.lab.scenario import Scenario, Trouble, platform_settings
 from sagetrack.lab.server import Server
@@ -117,12 +118,9 @@
     def usage(self) -> tuple[float, float]:
         """CPU seconds so far, and resident megabytes."""
         try:
-            stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+            return cpu_s(self.process.pid), memory_mb(self.process.pid)
         except OSError:
             return 0.0, 0.0
-        ticks = os.sysconf("SC_CLK_TCK")
-        return (int(stat[11]) + int(stat[12])) / ticks, pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
 class RealGateways:
@@ -183,9 +181,7 @@
     def config(self, gateway: int) -> dict[str, Any]:
         scenario = self.world.scenario
         agent = self.agents[gateway]
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            admin = probe.getsockname()[1]
+        admin = free_port()
         peers: dict[str, Any] = {}
         if self.ways:
             host, port = self.ways[gateway, gateway].gateway
--- a/sagetrack/lab/throughput.py
+++ b/sagetrack/lab/throughput.py
@@ -27,6 +27,7 @@
 import uvloop
 
 from sagetrack.lab.figures import histogram
+from sagetrack.lab.measure import cpu_s, free_port, memory_mb
 from sagetrack.lab.real import ROOT, LabError, need_files
 from sagetrack.lab.scenario import Clients, Fleet, RequestKind, Scenario, platform_settings
 
@@ -234,24 +235,6 @@
     return run
 
 
-def _cpu_s(pid: int) -> float:
-    """CPU seconds of a process, to the nanosecond where the kernel counts them so."""
-    total = 0
-    for task in Path(f"/proc/{pid}/task").iterdir():
-        total += int((task / "schedstat").read_text().split()[0])
-    return total / 1e9
-
-
-def _memory_mb(pid: int) -> float:
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def _await_port(port: int, process: subprocess.Popen[bytes]) -> None:
     end = time.monotonic() + 10
     while time.monotonic() < end:
@@ -265,7 +248,7 @@
     raise LabError("the measured process does not listen")
 
 
-def _configuration(port: int, ports: list[int], discovery: int, admin: int) -> dict[str, Any]:
+def configuration(port: int, ports: list[int], discovery: int, admin: int) -> dict[str, Any]:
     kind = RequestKind(name="lookup", work_ms=1, aim_ms=1000, deadline_ms=3000)
     scenario = Scenario(
         name="throughput", fleet=Fleet(servers=len(ports), gateways=1), classes=[kind], clients=Clients()
@@ -289,7 +272,7 @@
 def _round(
     what: str, build: Path | None, servers: int, ports: list[int], discovery: int, core: int, seconds: float
 ) -> Result:
-    port = _free_port()
+    port = free_port()
     with tempfile.TemporaryDirectory(prefix="sagetrack-lab-") as folder:
         if build is None:
             command = [
@@ -300,7 +283,7 @@
             process = subprocess.Popen(command, cwd=ROOT, env=os.environ | {"PYTHONPATH": str(ROOT)})
         else:
             file = Path(folder) / "config.json"
-            file.write_text(json.dumps(_configuration(port, ports, discovery, _free_port())))
+            file.write_text(json.dumps(configuration(port, ports, discovery, free_port())))
             module = "sagetrack" if (build / "sagetrack").is_dir() else "cloverkeel"
             environment = os.environ | {"LB_CONFIG": str(file), "PYTHONPATH": str(build), "TMPDIR": folder}
             process = subprocess.Popen(
@@ -315,9 +298,9 @@
                 await _load(port, CONNECTIONS, min(1.0, seconds / 3), 0.0)  # all is warm then
                 closed = await _load(port, CONNECTIONS, seconds, 0.0)
                 rate = max(1.0, min(OPEN_RATE, OPEN_SHARE * closed.finished / seconds))
-                before = _cpu_s(process.pid)
+                before = cpu_s(process.pid)
                 open_ = await _load(port, CONNECTIONS * 4, seconds, rate)
-                return closed, _cpu_s(process.pid) - before, open_, rate
+                return closed, cpu_s(process.pid) - before, open_, rate
 
             closed, cpu, open_, rate = uvloop.run(measure())
             done = open_.finished + open_.failed
@@ -330,7 +313,7 @@
             return Result(
                 what, servers, closed.finished / seconds,
                 closed.failed / max(1, closed.finished + closed.failed),
-                cpu * 1e6 / max(1, done), at(50), at(99), at(99.9), _memory_mb(process.pid),
+                cpu * 1e6 / max(1, done), at(50), at(99), at(99.9), memory_mb(process.pid),
                 done < 0.99 * rate * seconds,
             )  # fmt: skip
         finally:
