Take DNS servers from the list of servers; DNS and HTTP measured on one core

Change: `dns.type` maps a type of the list to DNS; `roster/split.py` parts one list by protocol, and a server that changes its type is gone for the other side. Upstream servers get the cold budget of the platform's contract, and each gateway its own place in their ring. A drain ends DNS connections over TCP after their last answer. `lab together` and `lab forge-dns` measure.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -387,6 +387,61 @@
     Console().print(table)
 
 
+@app.command("together")
+def together(
+    share: Annotated[float, typer.Option(help="of what passes alone, each", min=0.01, max=1)] = 0.5,
+    seconds: Annotated[float, typer.Option(help="of each measurement", min=1, max=600)] = 10.0,
+    rounds: Annotated[int, typer.Option(help="of each, by turns", min=1, max=100)] = 3,
+    json_: Annotated[bool, typer.Option("--json", help="as one JSON object")] = False,
+) -> None:
+    """Measure DNS and HTTP on one gateway with one slow server of each, alone and together."""
+    from sagetrack.lab.real import LabError
+    from sagetrack.lab.together import measure as measure_both
+
+    try:
+        with bar("together", json_) as tell:
+            found = measure_both(share, seconds, rounds, tell)
+    except LabError as error:
+        raise fail(str(error)) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    if json_:
+        print(json.dumps(found))
+        return
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(title=f"alone: HTTP {found['capacity_http']}/s, DNS {found['capacity_dns']}/s")
+    for name in found["rows"][0]:
+        table.add_column(name.replace("_", " "), justify="right")
+    for row in found["rows"]:
+        table.add_row(*(str(value) for value in row.values()))
+    Console().print(table)
+
+
+@app.command("forge-dns")
+def forge_dns(
+    rate: Annotated[int, typer.Option(help="forged answers a second", min=100, max=20_000)] = 1000,
+    seconds: Annotated[float, typer.Option(help="for how long", min=1, max=600)] = 10.0,
+) -> None:
+    """Send a gateway forged answers beside the true ones; exit 1 if one of them reaches a client."""
+    from sagetrack.lab.dnsforge import forge
+    from sagetrack.lab.real import LabError
+
+    try:
+        with bar("forge", False) as tell:
+            found = forge(rate, seconds, tell)
+    except LabError as error:
+        raise fail(str(error)) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    print(
+        f"{found.sent} forged answers, {found.sent / found.seconds:.0f} a second: {found.false} accepted; "
+        f"{found.true} of {found.asked} queries answered truly"
+    )
+    raise typer.Exit(1 if found.false else 0)
+
+
 @app.command("fuzz-dns")
 def fuzz_dns(
     messages: Annotated[int, typer.Option(help="how many", min=1)] = 100_000,
--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -52,6 +52,7 @@
 
     listen: list[Place] = msgspec.field(default_factory=list)
     upstreams: list[Place] = msgspec.field(default_factory=list)
+    type: str = ""  # servers of this type in the list of servers are upstream servers too
     aim_ms: Annotated[int, Meta(ge=1, le=60_000)] = 500
     deadline_ms: Annotated[int, Meta(ge=1, le=60_000)] = 2000
     cache_mb: Annotated[float, Meta(ge=0, le=65_536)] = 32.0
@@ -83,8 +84,9 @@
 def _across(operator: Operator) -> Iterator[Fault]:
     """What types cannot tell."""
     dns = operator.dns
-    if dns.listen and not (dns.upstreams or dns.zone.origin or dns.zone.files):
-        why = "dns.upstreams is missing; it is a list of at least one host:port, or there is a dns.zone"
+    if dns.listen and not (dns.upstreams or dns.type or dns.zone.origin or dns.zone.files):
+        why = "dns.upstreams is missing; it is a list of at least one host:port, or there is a dns.type or "
+        why += "dns.zone"
         yield Fault(("dns", "upstreams"), why)
     if dns.aim_ms > dns.deadline_ms:
         yield Fault(("dns", "aim_ms"), f"dns.aim_ms = {dns.aim_ms} is above deadline_ms = {dns.deadline_ms}")
--- a/sagetrack/dns/front.py
+++ b/sagetrack/dns/front.py
@@ -112,6 +112,7 @@
         self.tcp: list[asyncio.Server] = []
         self.connections: dict[TcpClient, None] = {}  # the longest idle first
         self.draining = False
+        self.stands_by: Callable[[], bool] = lambda: False
 
     async def start(self, addresses: list[Address], shared: bool = False) -> list[Address]:
         """Listen over UDP and TCP at each; OSError if that cannot be. Returns where, ports chosen."""
@@ -397,7 +398,7 @@
 
     def read_on(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            if self.front.draining and not self.busy:
+            if (self.front.draining or self.front.stands_by()) and not self.busy:
                 self.transport.close()
             else:
                 self.read()
--- a/sagetrack/dns/service.py
+++ b/sagetrack/dns/service.py
@@ -34,12 +34,23 @@
     files: Sequence[tuple[str, str]] = ()  # origin and path
 
 
+@dataclass(slots=True, frozen=True)
+class Cold:
+    """How upstream servers start, in the settings' terms: known of those in the list of servers."""
+
+    start_capacity: float = 1.0
+    warm_after_us: int = 0
+    fall_multiple: float = 1.0
+    fall_us: int = 1_000_000
+
+
 @dataclass(slots=True, frozen=True)
 class Plan:
     """What an installation asks for."""
 
     listen: Sequence[Address]
     upstreams: Sequence[Address]
+    listed: bool = False  # the list of servers names more of them
     aim_us: int = 500_000
     deadline_us: int = 2_000_000
     cache_bytes: int = 32 * 1024 * 1024
@@ -50,6 +61,8 @@
     limits: Limits = field(default_factory=Limits)
     crowd: int = 1000  # attempts that one upstream server holds at the most
     gateways: int = 1
+    gateway: int = 0  # its number among them: where its part of the upstream servers begins
+    cold: Cold = field(default_factory=Cold)
     zone: ZonePlan | None = None
 
 
@@ -57,8 +70,10 @@
     """The module's view: one class that is safe to repeat."""
     query = RequestClass(plan.aim_us, plan.deadline_us, late_worth=0.5, effect=Effect.SAFE)
     return Settings(
-        classes=(query,), proxies=plan.gateways, max_attempts=4, second_copies=True, crowd=plan.crowd,
-        lossy=True,
+        classes=(query,), proxies=plan.gateways, proxy=plan.gateway, max_attempts=4, second_copies=True,
+        crowd=plan.crowd,
+        lossy=True, start_capacity=plan.cold.start_capacity, warm_after_us=plan.cold.warm_after_us,
+        fall_multiple=plan.cold.fall_multiple, fall_us=plan.cold.fall_us,
         connect_timeout_us=min(1_000_000, plan.aim_us), stop_sending_within_us=2_000_000,
         max_retry_after_us=2_000_000,
     )  # fmt: skip
@@ -81,6 +96,8 @@
                 serial, weights,
             )  # fmt: skip
         self.tender: asyncio.TimerHandle | None = None
+        self.named: list[Entry] = []  # in the operator's file
+        self.listed: list[Entry] = []  # in the first whole list
         self.tended = 0  # entries that the collector no longer sees
         made = settings(plan)
         self.back = Upstreams(made)
@@ -89,7 +106,8 @@
         self.front = Front(
             self.gateway, self.cache, Access(plan.allow, plan.deny), ResponseRate(plan.answers_per_s),
             plan.limits, plan.deadline_us,
-            self.zones.answer if self.zones is not None else lambda query: None, bool(plan.upstreams),
+            self.zones.answer if self.zones is not None else lambda query: None,
+            bool(plan.upstreams) or plan.listed,
         )  # fmt: skip
 
     async def start(self, shared: bool = False) -> list[Address]:
@@ -114,11 +132,20 @@
 
     def list_upstreams(self, addresses: Sequence[Address]) -> None:
         """The whole list of upstream servers, as it is now."""
-        entries = []
+        self.named = []
         for host, port in addresses:
             name = f"{host}:{port}"
-            entries.append(Entry(name, (host, port), ListedServer(stable_id(name, 4))))
-        self.gateway.on_list(ListKind.FULL, entries)
+            self.named.append(Entry(name, (host, port), ListedServer(stable_id(name, 4))))
+        self.on_list(ListKind.FULL, self.listed)
+
+    def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
+        """Word of the upstream servers in the list of servers; the operator's own stay beside them."""
+        if kind is ListKind.ERROR:
+            return
+        if kind is not ListKind.DELTA:
+            self.listed = entries
+            entries = [*self.named, *entries]
+        self.gateway.on_list(kind, entries)
 
     def list_servers(self, servers: Iterable[tuple[str, Address, float]]) -> None:
         """Name, address and listed weight of the servers that are ready now, for our own zone."""
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Config, ConfigError, parse_address
+from sagetrack.core.calls import Entry
 from sagetrack.core.clock import now_us
+from sagetrack.decide.interface import ListKind
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
 from sagetrack.core.gateway import Gateway
@@ -15,13 +17,15 @@
 from sagetrack.ops.fellowship import Handover, node_for
 from sagetrack.ops.listen import bind, inherit
 from sagetrack.ops.overlap import Overlap
-from sagetrack.roster.discovery import CallError, Discovery
+from sagetrack.roster.discovery import CallError, Discovery, number_of
+from sagetrack.roster.split import HTTP, Split
 
 if TYPE_CHECKING:
     from sagetrack.config.operator import Operator
     from sagetrack.dns.service import Service
     from sagetrack.peers.node import Node
 
+DNS = "dns"
 ZONE_S = 1.0  # between looks at what our own zone follows
 
 
@@ -46,9 +50,12 @@
         self.overlap = Overlap(config.folder if config.accept_fd is not None else None)
         self.server.overlap = self.overlap
         pushed = config.settings.list_is_pushed
-        self.discovery = Discovery(
-            config.discovery, config.names, self.gateway.on_list, pushed, _ask_discovery
-        )
+        asked = operator.dns if operator is not None else None
+        self.split: Split | None = None
+        if asked is not None and asked.listen and asked.type:
+            self.split = Split({number_of(asked.type, config.names.kinds): DNS})
+        on_list = self.gateway.on_list if self.split is None else self.on_list
+        self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery)
 
     async def start(self) -> None:
         """Begin to take clients; OSError or ConfigError if the listening socket cannot be had."""
@@ -62,13 +69,21 @@
         self.join_peers()
         await self.start_dns()
 
+    def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
+        """Tell each protocol of its own servers."""
+        assert self.split is not None
+        parts = self.split.take(kind, entries)
+        self.gateway.on_list(kind, parts[HTTP])
+        if self.dns is not None:
+            self.dns.on_list(kind, parts[DNS])
+
     async def start_dns(self) -> None:
         """Answer DNS too, where the operator asks for it; ConfigError if that cannot be."""
         asked = self.operator.dns if self.operator is not None else None
         if asked is None or not asked.listen:
             return
         from sagetrack.dns.front import Limits
-        from sagetrack.dns.service import Plan, Service, ZonePlan
+        from sagetrack.dns.service import Cold, Plan, Service, ZonePlan
 
         own = asked.zone
         zone = None
@@ -77,17 +92,23 @@
             gateways = [(name, parse_address(place, "dns.zone.gateways")) for name, place in places]
             zone = ZonePlan(own.origin, own.ttl_s, gateways, list(own.files.items()))
         limits = Limits(asked.queries_each, asked.queries, asked.connections, asked.connections_each)
+        ours = self.config.settings
         plan = Plan(
             [parse_address(place, "dns.listen") for place in asked.listen],
             [parse_address(place, "dns.upstreams") for place in asked.upstreams],
-            asked.aim_ms * 1000, asked.deadline_ms * 1000, int(asked.cache_mb * 1024 * 1024), asked.stale_s,
-            asked.allow, asked.deny, asked.answers_per_s, limits, asked.crowd, self.config.settings.proxies,
-            zone,
+            listed=bool(asked.type), aim_us=asked.aim_ms * 1000, deadline_us=asked.deadline_ms * 1000,
+            cache_bytes=int(asked.cache_mb * 1024 * 1024), stale_s=asked.stale_s, allow=asked.allow,
+            deny=asked.deny, answers_per_s=asked.answers_per_s, limits=limits, crowd=asked.crowd,
+            gateways=ours.proxies, gateway=ours.proxy, zone=zone,
+            cold=Cold(ours.start_capacity, ours.warm_after_us, ours.fall_multiple, ours.fall_us),
         )  # fmt: skip
         try:
             self.dns = Service(plan, self.config.seed ^ 0xD5, self.server_weights, now_us() // 1_000_000)
         except ValueError as error:  # a zone that cannot be read
             raise ConfigError(f"dns.zone: {error}") from None
+        self.dns.front.stands_by = lambda: self.server.drain.is_on
+        if self.split is not None:
+            self.dns.listed = list(self.split.current[DNS].values())
         try:
             await self.dns.start(shared=self.config.accept_fd is not None)
         except OSError as error:
--- a/sagetrack/roster/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -57,9 +57,9 @@
             server=stable_id(name, 4),
             status=STATUSES[raw["status"]],
             weight=_weight(raw.get("weight", 1.0)),
-            zone=_number(zone, names.zones),
+            zone=number_of(zone, names.zones),
             group=group if isinstance(group, int) else stable_id(str(group), 4),
-            kind=_number(kind, names.kinds),
+            kind=number_of(kind, names.kinds),
             started_us=int(raw.get("since_ms") or 0) * 1000,
         ),
     )
@@ -72,7 +72,7 @@
     return weight
 
 
-def _number(name: object, known: dict[str, int]) -> int:
+def number_of(name: object, known: dict[str, int]) -> int:
     """The place in the settings; a name that is not there gets a number beyond them, the same everywhere."""
     number = known.get(str(name))
     return number if number is not None else len(known) + stable_id(str(name), 4)
