Serve members by fair queues, limit at the door, and promise the wait that is told

Need: one member's bulk drowned the others, and a refusal named a quarter of the class's aim whatever the load was. Nothing bounded one client.

Change: start-time fair queues by member and client, counted in work; max-min fair shedding; an adaptive limit, rates with bursts, a budget for repeats; a line of promises by member, so that who comes when told is let in; all within a bound in bytes. `[queues]` and `[limits]` in the operator's file, off by default; shares anew on SIGHUP; gateways tell each other demands. Clients of the lab have names, listen for the answer slack, and members can jump alone.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -146,6 +146,7 @@
         extra = {k: v for k, v in records.header.items() if k.startswith("gateway_")}
         shown = [str(violation) for violation in violations[:SHOWN]]
         extra |= {"http_service": round(made.service, 4)} if made.dns_queries else {}
+        extra |= {"service_by_member": {name: round(part, 4) for name, part in made.by_member.items()}}
         print(json.dumps({**header, **made.plain(), **extra, "violations": shown}))
     else:
         show(played, made, violations, records)
@@ -442,6 +443,38 @@
     raise typer.Exit(1 if found.false else 0)
 
 
+@app.command("door")
+def door(
+    clients: Annotated[str, typer.Option(help="numbers of clients")] = "10,1000,50000",
+    calls: Annotated[int, typer.Option(help="of each round", min=100, max=10_000_000)] = 10_000,
+    rounds: Annotated[int, typer.Option(help="of each, by turns", min=1, max=100)] = 3,
+    memory_kb: Annotated[int, typer.Option(help="the door's bound", min=64)] = 16 * 1024,
+) -> None:
+    """Measure what fair queues cost at twice the load that servers can do: time of a call, memory."""
+    from sagetrack.lab.doorcost import measure as measure_door
+
+    try:
+        sizes = [int(size) for size in clients.split(",")]
+    except ValueError:
+        raise fail(f"--clients {clients}: numbers with commas, as in 10,1000") from None
+    if min(sizes) < 1:
+        raise fail(f"--clients {clients}: each is at least 1")
+    try:
+        with bar("door", False) as tell:
+            rows = measure_door(sizes, calls, rounds, memory_kb, tell)
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(title=f"{rounds} rounds of {calls} calls")
+    for name in rows[0]:
+        table.add_column(name.replace("_", " "), justify="right")
+    for row in rows:
+        table.add_row(*(str(value) for value in row.values()))
+    Console(width=150).print(table)
+
+
 @app.command("fuzz-dns")
 def fuzz_dns(
     messages: Annotated[int, typer.Option(help="how many", min=1)] = 100_000,
--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -68,12 +68,38 @@
     zone: ZoneSettings = msgspec.field(default_factory=ZoneSettings)
 
 
+class QueueSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Fair queues at the door."""
+
+    use: bool = False
+    shares: dict[str, Annotated[float, Meta(gt=0, le=1_000_000)]] = msgspec.field(default_factory=dict)
+    flows: Annotated[int, Meta(ge=1, le=65_536)] = 256  # that a member's clients are hashed to
+    patience: Annotated[float, Meta(ge=0, le=0.5)] = 0.5  # of the slack under the aim: to wait at the most
+    memory_mb: Annotated[float, Meta(ge=1, le=65_536)] = 16.0
+    client_header: Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]*$")] = "X-Client"  # empty: by address alone
+
+
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits at the door; they need `queues.use`. A rate of 0 is no limit."""
+
+    adaptive: bool = True  # calls in work, by latency
+    repeats: Annotated[float, Meta(ge=0, le=10)] = 0.2  # marked repeats that a first try pays for
+    member_per_s: Annotated[float, Meta(ge=0, le=10_000_000)] = 0.0
+    member_burst: Annotated[float, Meta(ge=1, le=10_000_000)] = 10.0
+    client_per_s: Annotated[float, Meta(ge=0, le=10_000_000)] = 0.0
+    client_burst: Annotated[float, Meta(ge=1, le=10_000_000)] = 5.0
+    class_per_s: dict[str, Annotated[float, Meta(gt=0, le=10_000_000)]] = msgspec.field(default_factory=dict)
+    class_burst: Annotated[float, Meta(ge=1, le=10_000_000)] = 10.0
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     log: LogSettings = msgspec.field(default_factory=LogSettings)
     peers: PeerSettings = msgspec.field(default_factory=PeerSettings)
     dns: DnsSettings = msgspec.field(default_factory=DnsSettings)
+    queues: QueueSettings = msgspec.field(default_factory=QueueSettings)
+    limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
 
 
 def load(path: str) -> Operator:
@@ -83,6 +109,8 @@
 
 def _across(operator: Operator) -> Iterator[Fault]:
     """What types cannot tell."""
+    if operator.limits != LimitSettings() and not operator.queues.use:
+        yield Fault(("limits",), "limits needs queues.use = true")
     dns = operator.dns
     if dns.listen and not (dns.upstreams or dns.type or dns.zone.origin or dns.zone.files):
         why = "dns.upstreams is missing; it is a list of at least one host:port, or there is a dns.type or "
--- a/sagetrack/config/platform.py
+++ b/sagetrack/config/platform.py
@@ -43,6 +43,7 @@
     known: dict[str, Any]  # in discovery's form
     settings: Settings
     names: Names
+    client_header: bytes = b""  # names a client within its member, where fair queues are on
     peer_listen: Address | None = None  # for datagrams of other gateways
     peers: tuple[Address, ...] = ()  # one for each gateway, in the order of their numbers
 
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -155,6 +155,7 @@
     tenant: int
     message: Any  # for the back of its protocol
     client: Client
+    who: int = 0  # the client within its tenant, where it is known
     upload: Upload | None = None  # the body, if it is too long to be held
 
 
@@ -260,7 +261,7 @@
         self.held[call.id] = Held(call, now_us() + call.patience_us)
         event = RequestArrived(
             call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant,
-            call.upload is not None,
+            call.upload is not None, call.who,
         )  # fmt: skip
         self.post(lambda: event)
         return True
--- a/sagetrack/core/metrics.py
+++ b/sagetrack/core/metrics.py
@@ -30,7 +30,7 @@
     def __init__(self, classes: Sequence[str], gauges: Gauges) -> None:
         self.classes = list(classes)
         self.gauges = gauges
-        self.more: list[Callable[[], Mapping[str, int]]] = []  # figures of parts that were switched on
+        self.more: list[Callable[[], Mapping[str, float]]] = []  # figures of parts that were switched on
         self.answered = Counter(len(classes))  # requests served
         self.deferred = Counter(len(classes))  # refused
         self.errored = Counter(len(classes))  # failed
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -14,10 +14,11 @@
 from enum import Enum
 from operator import attrgetter
 
+from sagetrack.decide.door import PROMISED_WORTH, Door, Why
 from sagetrack.decide.interface import (
-    NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Effect, Event, Fail, Fellows, Learned,
+    NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Demands, Effect, Event, Fail, Fellows, Learned,
     ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList,
-    ServerStatus, SetTimer, Settings, Sharing, StreamStarted, TimerFired, WatchList,
+    ServerStatus, SetTimer, Settings, Shares, Sharing, StreamStarted, TimerFired, WatchList,
 )
 from sagetrack.decide.knowledge import (
     CLOSED, HALF_OPEN, MOST_OPEN, OLDEST_US, OPEN, Latency, Sight, advise, join,
@@ -236,6 +237,10 @@
     uploading: bool = False  # its body still comes
     once: bool = False  # its body can't be sent again
     wait_token: int = -1  # the timer that ends its wait
+    member: int = 0  # for the door
+    client: int = 0
+    promised: bool = False  # it was told to come about now
+    told_us: int = -1  # the door's own word on when to come back
     rests_until_us: int = 0  # in order: its key rests, as an attempt may still be running
 
 
@@ -265,6 +270,7 @@
         self.timers: dict[int, Request] = {}
         self.lines: dict[int, deque[Request]] = {}  # in order: requests of a key, its turn first
         self.waiting: dict[Request, None] = {}  # for room at a server, the first come first
+        self.door = Door[Request](settings.door, self.shares_of()) if settings.door is not None else None
         self.next_token = 1
         self.retry_tokens = RETRY_BURST
         self.list_calls_failed = 0
@@ -310,6 +316,10 @@
             self.processes = max(1, event.processes)
         elif isinstance(event, Learned):
             self.on_learned(event)
+        elif isinstance(event, Shares) and self.door is not None:
+            self.door.set_shares(event.shares)
+        elif isinstance(event, Demands) and self.door is not None:
+            self.door.hear(event.proxy, list(event.demands), self.now_us, self.sharers)
         elif isinstance(event, Fellows):
             self.sharers = sharers(event.alive, self.settings.proxies)
         return self.actions
@@ -326,7 +336,9 @@
             return
         request = self.admit(event)
         self.requests[request.id] = request
-        if self.is_shed(request) or not (
+        if self.door is not None and not self.settings.classes[request.klass].in_order:
+            self.come_in(self.door, request, event.is_retry)
+        elif self.is_shed(request) or not (
             self.waits_its_turn(request) or self.try_send(request) or self.waits_for_room(request)
         ):
             self.answer_unserved(request)
@@ -349,9 +361,68 @@
         return Request(
             event.request, event.klass, event.key, self.now_us + event.patience_us,
             self.now_us + max(0, klass.aim_us - used_us), size, first_try, self.excess(event.tenant),
-            uploading=event.uploading, once=event.uploading,
+            uploading=event.uploading, once=event.uploading, client=event.client,
+            member=self.door.member(event.tenant) if self.door is not None else 0,
         )
 
+    # At the door, where it is switched on: fair queues, limits and promises
+
+    def shares_of(self) -> list[float]:
+        return [tenant.share for tenant in self.settings.tenants] or [1.0]
+
+    def come_in(self, door: Door[Request], request: Request, repeat: bool) -> None:
+        """Let a request in to wait for its turn, which may be now, or turn it away and say when to come.
+
+        One that could not be served in time is refused here, and not when its time is over.
+        """
+        now, index, member = self.now_us, request.klass, request.member
+        work_us = door.work_of(index, request.size)
+        verdict = door.arrive(now, member, request.client, request.key or 0, index, work_us, repeat)
+        if not isinstance(verdict, bool):
+            why, request.told_us = verdict[0], verdict[1] or -1
+            self.turn_away(door, request, why)
+            return
+        request.promised = verdict
+        if self.is_shed(request):
+            self.turn_away(door, request, Why.SHARE)
+            return
+        unhindered_us = self.unhindered[index] * request.size
+        left_us = request.deadline_us - now - unhindered_us
+        late_worth = self.settings.classes[index].late_worth
+        late = late_worth > 0.0 and (request.promised or now >= request.aim_us)
+        slack_us = left_us if late else min(request.aim_us - now - unhindered_us, left_us)
+        patience_us = door.settings.patience * slack_us
+        if not any(self.is_eligible(server, index) for server in self.ranked):
+            self.turn_away(door, request, Why.SERVERS)
+            return
+        # Calls that servers hold at once: by Little's law the latencies that are served in a unit of time.
+        each = max(1, math.ceil((self.settings.crowd or CROWD) / self.sharers))
+        door.prior = float(len(self.ranked) * each)
+        waits_us = door.wait_us(now, member, request.client) if len(door.queues) else 0.0
+        if waits_us > patience_us and not request.promised:
+            self.turn_away(door, request, Why.LATE)
+            return
+        worth = self.worths()[index] * (late_worth if late else 1.0) + PROMISED_WORTH * request.promised
+        door.push(request, now, member, request.client, work_us, worth, request.aim_us)
+        self.serve_waiting()
+        if not request.attempts and not request.done:
+            if patience_us <= 0:
+                self.turn_away(door, request, Why.LATE)
+                return
+            request.wait_token = self.next_token
+            self.set_timer(now + int(patience_us), request)
+
+    def turn_away(self, door: Door[Request], request: Request, why: Why) -> None:
+        door.reasons[why] += 1
+        self.answer_unserved(request)
+
+    def serve_fairly(self, door: Door[Request]) -> None:
+        """Send whose turn it is, while there is room."""
+        while (request := door.first(self.out)) is not None:
+            if not self.try_send(request):
+                return
+            door.serve(request, self.now_us)
+
     def excess(self, tenant: int) -> float:
         """Part of a tenant's tries of late beyond its share; 0 where none is stated.
 
@@ -404,6 +475,8 @@
 
     def serve_waiting(self) -> None:
         """Send what waits while there is room, what gains the most for its work first."""
+        if self.door is not None:
+            self.serve_fairly(self.door)
         while self.waiting:
             worths = self.worths()
             request = max(self.waiting, key=lambda r: worths[r.klass] * (1.0 - max(0.0, r.excess)))
@@ -456,7 +529,14 @@
             return True
         if self.shed <= 0.0 and self.shed_dear <= 0.0:
             return False
-        if self.random.random() < request.excess:
+        shed, shed_dear = self.shed, self.shed_dear
+        if self.door is not None:  # who asks for no more than its part yields nothing
+            if request.promised:
+                return False
+            door, member, client = self.door, request.member, request.client
+            shed = door.beyond(self.now_us, member, client, shed)
+            shed_dear = door.beyond(self.now_us, member, client, shed_dear)
+        elif self.random.random() < request.excess:
             return True
         worths = self.worths()
         mine = worths[request.klass]
@@ -465,7 +545,7 @@
         below = sum(share for share, worth in zip(shares, worths, strict=True) if worth < mine) / total
         point = below + shares[request.klass] / total * self.random.random()
         mean = sum(share * worth for share, worth in zip(shares, worths, strict=True)) / total
-        return point < (self.shed if mine < CHEAP * mean else self.shed_dear)
+        return point < (shed if mine < CHEAP * mean else shed_dear)
 
     def worths(self) -> list[float]:
         """What the goal gains from each unit of server time, by class."""
@@ -517,6 +597,8 @@
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
             self.actions.append(Refuse(request.id, self.retry_after_us(request)))
+            if self.door is not None:
+                self.door.rows[request.member].refused += 1
         else:
             self.actions.append(Fail(request.id))
         self.finish(request)
@@ -527,6 +609,16 @@
         Guards against clients that ask again at once, while what turned them away is still there.
         """
         breakers = [s.breaker for s in self.servers.values()]
+        most_us = self.settings.max_retry_after_us
+        if self.door is not None and request.told_us >= 0:
+            return min(request.told_us, most_us)
+        if self.door is not None and any(b.state is not State.OPEN for b in breakers):
+            work_us, draw = self.door.work_of(request.klass, request.size), self.random.random()
+            member, client = request.member, request.client
+            worthless = self.settings.classes[request.klass].late_worth <= 0.0
+            left_us = (request.aim_us if worthless else request.deadline_us) - self.now_us
+            key = request.key or 0
+            return self.door.advise(self.now_us, member, client, key, work_us, draw, most_us, left_us)
         wait_us = int(COME_BACK * self.settings.classes[request.klass].aim_us)
         if breakers and all(b.state is State.OPEN for b in breakers):
             wait_us = min(b.open_until_us for b in breakers) - self.now_us
@@ -535,6 +627,8 @@
     def finish(self, request: Request) -> None:
         request.done = True
         self.waiting.pop(request, None)
+        if self.door is not None:
+            self.door.remove(request)
         if request.out == 0:
             self.free(request)
             return
@@ -591,7 +685,9 @@
         if token == LIST_TOKEN and not self.settings.list_is_pushed:
             self.actions.append(WatchList())
         elif request is not None and token == request.wait_token:
-            if request in self.waiting:
+            if self.door is not None and request in self.door.queues.entries:
+                self.turn_away(self.door, request, Why.LATE)
+            elif request in self.waiting:
                 self.answer_unserved(request)
         elif request is not None and request.done and request.out == 0:
             self.free(request)
@@ -655,6 +751,9 @@
         if event.outcome in MAY_STILL_RUN:
             request.rests_until_us = self.now_us + self.settings.key_rest_us
         request.out -= 1
+        if self.door is not None and event.outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
+            good = event.outcome is Outcome.OK
+            self.door.ended(request.klass, event.latency_us, request.size, self.out, good)
         self.let_go(attempt)
         self.judge(request, attempt, event)
         if request.done:
@@ -664,6 +763,8 @@
             answered_us = request.answered_us or self.now_us
             if event.outcome is Outcome.OK and request.first_try and answered_us <= request.aim_us:
                 self.served[request.klass] += 1
+            if self.door is not None and event.outcome is Outcome.OK:
+                self.door.rows[request.member].served += 1
             self.finish(request)
         elif request.out == 0:
             self.try_again(request, event.outcome)
--- a/sagetrack/decide/interface.py
+++ b/sagetrack/decide/interface.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from sagetrack.decide.door import DoorSettings
 from sagetrack.decide.knowledge import Latency, Sight
 
 
@@ -175,6 +176,7 @@
     full_unproven: bool = False  # FULL may also be said of work that had begun
     lossy: bool = False  # an attempt may be lost on its way by itself, as a datagram is
     crowd: float = 0.0  # attempts that one server holds at the most, by all; 0: the module's own bound
+    door: DoorSettings | None = None  # fair queues and limits; None: off
     key_rest_us: int = 0  # in order: how long a key rests after an attempt that may still be running
 
     def __post_init__(self) -> None:
@@ -222,6 +224,7 @@
     is_retry: bool = False
     tenant: int = 0  # its place in the settings
     uploading: bool = False  # its body still comes, and can go to one server only: see AttemptWritten
+    client: int = 0  # who asks within the tenant, as a number; 0 where nobody knows
 
 
 @dataclass(slots=True, frozen=True)
@@ -313,8 +316,25 @@
     alive: int
 
 
+@dataclass(slots=True, frozen=True)
+class Shares:
+    """The tenants' shares are these from now on, in the order of the settings."""
+
+    shares: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Demands:
+    """Work that another proxy was asked for of late, by tenant, in microseconds for a second."""
+
+    proxy: int
+    demands: tuple[float, ...]
+
+
 Event = (
     Learned
+    | Shares
+    | Demands
     | Fellows
     | ServerList
     | RequestArrived
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -9,7 +9,7 @@
 from typing import cast
 
 from sagetrack.core.bodies import Allowance, Upload
-from sagetrack.config.platform import Config
+from sagetrack.config.platform import Config, stable_id
 from sagetrack.core.drain import LEAVE_ACCEPT_S, Drain
 from sagetrack.core.gateway import Call, Gateway, Source
 from sagetrack.core.calls import Alone, Header, Reply, Roster, Siblings
@@ -501,10 +501,18 @@
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
         call = self.call = read_call(request, path, self.server.config, self)
+        if not call.who and self.server.config.settings.door is not None:
+            call.who = self.address_id()
         if not self.server.gateway.arrive(call):
             self.call = None
             raise RequestError(400, "this X-Call-Id is in use")
 
+    def address_id(self) -> int:
+        """A client that has no name is known by its address."""
+        assert self.transport is not None
+        peer = self.transport.get_extra_info("peername")
+        return stable_id(peer[0], 8) if peer else 0
+
     def on_served(self, call: Call, reply: Reply) -> None:
         if self.call is call:
             self.answer(200, end_to_end(reply.headers, NOT_PASSED_BACK), reply.body)
--- a/sagetrack/http/requests.py
+++ b/sagetrack/http/requests.py
@@ -251,6 +251,7 @@
         message=Message(_head(request, body), body),
         client=client,
         upload=request.upload,
+        who=stable_id(named_by, 8) if (named_by := headers.get(config.client_header)) else 0,
     )
 
 
--- a/sagetrack/lab/real.py
+++ b/sagetrack/lab/real.py
@@ -73,6 +73,18 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
 
 
+def door_operator(scenario: Scenario) -> str:
+    """What the operator's file of a gateway says of fair queues and limits."""
+    door = scenario.door
+    if not door.use:
+        return ""
+    return (
+        f"[queues]\nuse = true\npatience = {door.patience:g}\nmemory_mb = {door.memory_mb:g}\n"
+        f"[limits]\nadaptive = {str(door.adaptive).lower()}\nclient_per_s = {door.client_per_s:g}\n"
+        f"member_per_s = {door.member_per_s:g}\n"
+    )
+
+
 class GatewayProcess:
     """One process of a gateway."""
 
@@ -218,6 +230,7 @@
         folder = self.folder / f"g{gateway}"
         folder.mkdir(exist_ok=True)
         operator = self.dns.operator(gateway) if self.dns is not None else ""
+        operator += door_operator(self.world.scenario)
         listener = self.listeners.get(gateway)
         process = GatewayProcess(folder, self.config(gateway), listener, self.lives, operator)
         self.processes.setdefault(gateway, []).append(process)
@@ -372,6 +385,8 @@
             f"X-Caller: {self.world.scenario.members[this.request.member].name}",
             f"X-Budget-Ms: {max(1, (this.budget_us - spent) // 1000)}",
         ]  # fmt: skip
+        if this.request.client:
+            headers.append(f"X-Client: {this.request.client}")
         body = b""
         method = "GET" if kind.effect == "safe" else "POST"
         if kind.effect == "keyed":
--- a/sagetrack/lab/records.py
+++ b/sagetrack/lab/records.py
@@ -28,6 +28,8 @@
     "request": ("request", "class", "member", "outcome", "asked_us", "tries"),
     "load": ("server", "held", "busy"),
     "late": ("late_us",),
+    "client": ("request", "client"),
+    "advised": ("call", "request", "try", "retry_after_us"),
     "dns": ("gateway", "outcome", "asked_us"),
 }
 """Fields behind kind and time. `verdict` of an answer is served, refused, failed, broken or unreachable; of a
--- a/sagetrack/lab/virtual.py
+++ b/sagetrack/lab/virtual.py
@@ -10,13 +10,15 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 
 from sagetrack.decide.balance import Balancer
+from sagetrack.decide.door import DoorSettings
 from sagetrack.decide.interface import (
     AttemptEnded,
     Cancel,
+    Demands,
     Event,
     Fail,
     Fellows,
@@ -35,12 +37,14 @@
     TellPeers,
     TimerFired,
 )
+from sagetrack.decide.limits import Rate
 from sagetrack.decide.reading import parse_settings
 from sagetrack.lab.records import Records
 from sagetrack.lab.scenario import Scenario, Trouble, platform_settings
 from sagetrack.lab.server import Job, Result
 from sagetrack.lab.world import GONE, Listed, Try, World
-from sagetrack.peers.codec import Ask, Datagram, Tell, decode, encode
+from sagetrack.peers.codec import Ask, Datagram, Tell, Wanted, decode, encode
+from sagetrack.peers.demand import Herald, demands_in, wanted
 from sagetrack.peers.membership import Membership, Settings
 from sagetrack.peers.warm import Asker, Teller, latencies_from
 
@@ -57,6 +61,18 @@
 }
 
 
+def door_settings(scenario: Scenario) -> DoorSettings | None:
+    """Fair queues and limits as a scenario has them."""
+    door = scenario.door
+    if not door.use:
+        return None
+    return DoorSettings(
+        patience=door.patience, memory_bytes=int(door.memory_mb * 1024 * 1024), adaptive=door.adaptive,
+        client_rate=Rate(door.client_per_s, 5.0) if door.client_per_s else None,
+        member_rate=Rate(door.member_per_s, 10.0) if door.member_per_s else None,
+    )  # fmt: skip
+
+
 class Timer:
     """One planned call; cancelled ones are passed over when their time comes."""
 
@@ -168,7 +184,12 @@
         kind = this.request.klass
         left = this.sent_us + this.budget_us - self.clock.now_us()
         marks = self.world.scenario.clients.marks_retry and this.number > 1
-        self.handle(RequestArrived(this.call, kind, left, this.request.key, None, marks, this.request.member))
+        request = this.request
+        key = request.key or int(request.id, 16)
+        event = RequestArrived(
+            this.call, kind, left, key, None, marks, request.member, client=request.client
+        )  # fmt: skip
+        self.handle(event)
 
     def leave(self, this: Try) -> None:
         held = self.held.get(this.call)
@@ -328,6 +349,7 @@
         warm = peers.warm_start and now > 0  # nobody knows anything at the begin of a run
         self.asker = Asker(gateway.number, others, seed ^ 1, now, self.ask) if warm else None
         self.teller = Teller(now)
+        self.herald = Herald(gateway.number, count, seed ^ 2, now) if gateway.balancer.door else None
         self.planned_us = -1
         self.clock.at(now, self.wake)
 
@@ -350,6 +372,12 @@
         if self.asker is not None and not self.asker.is_over:
             self.asker.tick(now)
             due = min(due, self.asker.due_us)
+        door = self.gateway.balancer.door
+        if self.herald is not None and door is not None:
+            for target in self.herald.whom(now):
+                if (message := wanted(door.levels.tell(now + BASE_US))) is not None:
+                    self.send(target, Datagram(self.gateway.number, self.machine.incarnation, [message]))
+            due = min(due, self.herald.due_us)
         if due != self.planned_us:
             self.planned_us = due
             self.clock.at(max(due, now + 1000), lambda: self.wake_at(due))
@@ -372,6 +400,9 @@
                 lives = {n: s.entry.started_us for n, s in gateway.balancer.servers.items()}
                 found = self.asker.handle(now + BASE_US, datagram.sender, message, lives)
                 gateway.handle(Learned(tuple(found), latencies_from(message.classes)))
+            elif isinstance(message, Wanted) and gateway.balancer.door is not None:
+                members = len(gateway.balancer.door.shares)
+                gateway.handle(Demands(datagram.sender, demands_in(message, members)))
         self.wake()
 
 
@@ -385,8 +416,9 @@
         scenario = world.scenario
         import json
 
+        door = door_settings(scenario)
         self.settings = [
-            parse_settings(json.dumps(platform_settings(scenario, number)))
+            replace(parse_settings(json.dumps(platform_settings(scenario, number))), door=door)
             for number in range(scenario.fleet.gateways)
         ]
         self.draw = random.Random(f"{world.seed}/net")
--- a/sagetrack/ops/fellowship.py
+++ b/sagetrack/ops/fellowship.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -62,10 +63,16 @@
         warm = asked.warm_start
     return Node(
         me, listen, peers, settings, config.seed, lambda event: gateway.post(lambda: event),
-        gateway.balancer.sights, gateway.lives, warm,
+        gateway.balancer.sights, gateway.lives, warm, demands_of(gateway),
     )  # fmt: skip
 
 
+def demands_of(gateway: Gateway) -> Callable[[], list[float]] | None:
+    """What members ask for, for the others, where fair queues are on."""
+    door = gateway.balancer.door
+    return None if door is None else lambda: door.levels.tell(now_us())
+
+
 class Handover:
     """Knowledge between two processes of one gateway: the older writes it down, the younger takes it up."""
 
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -9,11 +9,12 @@
 from sagetrack.config.platform import Config, ConfigError, parse_address
 from sagetrack.core.calls import Entry
 from sagetrack.core.clock import now_us
-from sagetrack.decide.interface import ListKind
+from sagetrack.decide.interface import ListKind, Shares
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
 from sagetrack.core.gateway import Gateway
 from sagetrack.http.line import HttpLine, connect
+from sagetrack.ops.fairness import with_door
 from sagetrack.ops.fellowship import Handover, node_for
 from sagetrack.ops.listen import bind, inherit
 from sagetrack.ops.overlap import Overlap
@@ -38,6 +39,7 @@
 
     def __init__(self, config: Config, operator: Operator | None = None) -> None:
         asyncio.get_running_loop()  # RuntimeError without one
+        config = with_door(config, operator)
         self.config, self.operator = config, operator
         self.node: Node | None = None
         self.handover: Handover | None = None
@@ -46,6 +48,10 @@
         self.pools = Pools(config.settings)
         names = [name.decode() for name in config.names.classes]
         self.gateway = Gateway(config.settings, config.seed, names, self.pools, config.known)
+        door = self.gateway.balancer.door
+        if door is not None:
+            members = [name.decode() for name in config.names.tenants]
+            self.gateway.metrics.more.append(lambda: door.figures(members))
         self.server = Server(config, self.gateway, self.pools)
         self.overlap = Overlap(config.folder if config.accept_fd is not None else None)
         self.server.overlap = self.overlap
@@ -69,6 +75,10 @@
         self.join_peers()
         await self.start_dns()
 
+    def on_shares(self, shares: tuple[float, ...]) -> None:
+        """The operator has changed the members' shares."""
+        self.gateway.post(lambda: Shares(shares))
+
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
         """Tell each protocol of its own servers."""
         assert self.split is not None
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -75,9 +75,14 @@
         stop = asyncio.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
-        instance = Instance(config, operator)
+        try:
+            instance = Instance(config, operator)
+        except ConfigError as error:
+            log(str(error), "error")
+            return 2
         gateway, server = instance.gateway, instance.server
-        reloader = Reloader(instance.discovery)
+        has_door = gateway.balancer.door is not None
+        reloader = Reloader(instance.discovery, operators if has_door else None, instance.on_shares)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
         admin = Admin(server)
         address: Address | None = config.admin
--- a/sagetrack/ops/reload.py
+++ b/sagetrack/ops/reload.py
@@ -3,17 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from sagetrack.config.platform import Config, ConfigError, load
+from sagetrack.ops.fairness import shares_in
 from sagetrack.roster.discovery import Discovery
 from sagetrack.core.log import log
 
 
+OnShares = Callable[[tuple[float, ...]], None]
+
+
+def new_shares(path: str, config: Config) -> tuple[float, ...]:
+    """The members' shares as the operator's file has them now; ConfigError if it cannot be read."""
+    from sagetrack.config.checked import FileError
+    from sagetrack.config.operator import load as load_operator
+
+    try:
+        return shares_in(config, load_operator(path))
+    except FileError as error:
+        raise ConfigError(str(error.faults[0])) from None
+
+
 class Reloader:
     """Reads LB_CONFIG once for each time that is asked, or once for several that come together."""
 
-    def __init__(self, discovery: Discovery) -> None:
-        self.discovery = discovery
+    def __init__(
+        self, discovery: Discovery, operator: str | None = None, on_shares: OnShares | None = None
+    ) -> None:
+        self.discovery, self.operator, self.on_shares = discovery, operator, on_shares
         self.asked = False
         self.reading: asyncio.Task[None] | None = None
 
@@ -27,7 +45,10 @@
             while self.asked:
                 self.asked = False
                 # Off the loop: the disk may be slow, and the file long.
-                self.take(await asyncio.to_thread(load))
+                config = await asyncio.to_thread(load)
+                self.take(config)
+                if self.operator is not None and self.on_shares is not None:
+                    self.on_shares(await asyncio.to_thread(new_shares, self.operator, config))
         except ConfigError as error:
             log(f"all stays as it is: {error}")
         finally:
--- a/sagetrack/peers/codec.py
+++ b/sagetrack/peers/codec.py
@@ -96,7 +96,13 @@
     servers: Annotated[list[ServerFact], Meta(max_length=64)]
 
 
-Message = Ping | Ack | PingRequest | Nack | Update | Ask | Tell
+class Wanted(msgspec.Struct, tag=8, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """Work that the sender was asked for of late, by member: (place, milliseconds for a second)."""
+
+    demands: Annotated[list[tuple[Member, Annotated[int, Meta(ge=0, lt=2**32)]]], Meta(max_length=24)]
+
+
+Message = Ping | Ack | PingRequest | Nack | Update | Ask | Tell | Wanted
 
 
 class Datagram(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
--- a/sagetrack/peers/node.py
+++ b/sagetrack/peers/node.py
@@ -10,9 +10,10 @@
 from sagetrack.config.platform import Address
 from sagetrack.core.clock import now_us
 from sagetrack.core.log import log
-from sagetrack.decide.interface import Event, Fellows, Learned
+from sagetrack.decide.interface import Demands, Event, Fellows, Learned
 from sagetrack.decide.knowledge import Latency, Sight
-from sagetrack.peers.codec import Ask, CodecError, Datagram, Tell, decode, encode
+from sagetrack.peers.codec import Ask, CodecError, Datagram, Tell, Wanted, decode, encode
+from sagetrack.peers.demand import Herald, demands_in, wanted
 from sagetrack.peers.membership import Counts, Membership, Settings, State
 from sagetrack.peers.warm import Asker, Teller, latencies_from
 
@@ -37,6 +38,7 @@
         sights: Sights,
         lives: Callable[[], dict[int, int]],
         warm: bool = True,
+        demands: Callable[[], list[float]] | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.me, self.listen, self.peers = me, listen, list(peers)
@@ -49,6 +51,8 @@
         others = [number for number in range(len(self.peers)) if number != me]
         self.asker = Asker(me, others, seed ^ 0x5A5A, now, self.ask) if warm and others else None
         self.teller = Teller(now)
+        self.demands = demands  # of members, where fair queues are on
+        self.herald = Herald(me, len(self.peers), seed ^ 0xA5, now) if demands is not None else None
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.binding: asyncio.Task[None] | None = None
@@ -109,6 +113,13 @@
         if self.asker is not None and not self.asker.is_over:
             self.asker.tick(now)
             due = min(due, self.asker.due_us)
+        if self.herald is not None and self.demands is not None:
+            whom = self.herald.whom(now)
+            message = wanted(self.demands()) if whom else None
+            for target in whom if message is not None else ():
+                assert message is not None
+                self.send(target, Datagram(self.me, self.machine.incarnation, [message]))
+            due = min(due, self.herald.due_us)
         self.timer = self.loop.call_later(max(LEAST_WAIT_S, (due - now) / 1e6), self.wake)
 
     # Messages
@@ -144,6 +155,9 @@
                 self.tell(now, sender, message)
             elif isinstance(message, Tell) and self.asker is not None:
                 self.learn(now, sender, message)
+            elif isinstance(message, Wanted) and self.demands is not None:
+                found = demands_in(message, len(self.demands()))
+                self.post(Demands(sender, found))
         self.wake()
 
     def tell(self, now: int, asker: int, ask: Ask) -> None:
