Reach servers of a newer format over HTTP/2 beside those over HTTP/1.1

Need: address servers move to calls over HTTP/2 while members keep old clients; both kinds stand in one fleet, under the same rules.

Change: `h2/` has a back with many streams on a connection, a translator that is exact both ways, and a back over both formats; the list's type says which a server speaks. How a stream ends says whether it may have run (the table of docs/protocol-2.md). `decide/moving.py` gives the newer servers a share and takes it back when they fail more. TLS with keys renewed on SIGHUP. Stand-in servers of the format in the lab, `lab fuzz-h2`. Off without `[newer]`.

Open: a front for new clients, share by class or member, comparison of answers.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -475,6 +475,28 @@
     Console(width=150).print(table)
 
 
+@app.command("fuzz-h2")
+def fuzz_h2(
+    frames: Annotated[int, typer.Option(help="about how many", min=1)] = 100_000,
+    seed: Annotated[int, typer.Option(help="what is spoilt follows from it", min=0)] = 1,
+) -> None:
+    """Feed mutated HTTP/2 frames to the back; exit 1 if any breaks it or an attempt does not end once."""
+    from sagetrack.h2.fuzz import fuzz
+
+    try:
+        with bar("fuzz", False) as tell:
+            found = fuzz(frames, seed, tell)
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    print(
+        f"{found.frames} frames: {found.answered} answers taken, {found.failed} attempts failed, "
+        f"{found.closed} connections closed, {len(found.wrong)} wrong, slowest {found.slowest_ms:.2f} ms"
+    )
+    for line in found.wrong[:SHOWN]:
+        print(line)
+    raise typer.Exit(1 if found.wrong else 0)
+
+
 @app.command("fuzz-dns")
 def fuzz_dns(
     messages: Annotated[int, typer.Option(help="how many", min=1)] = 100_000,
--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -92,6 +92,17 @@
     class_burst: Annotated[float, Meta(ge=1, le=10_000_000)] = 10.0
 
 
+class NewerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Servers of the newer format (docs/protocol-2.md); off without types."""
+
+    types: list[Annotated[str, Meta(min_length=1)]] = msgspec.field(default_factory=list)
+    share: Annotated[float, Meta(ge=0, le=1)] | None = None  # of the work; without it as weights are listed
+    tls: bool = False
+    ca: str = ""  # files in PEM
+    certificate: str = ""
+    key: str = ""
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
@@ -100,6 +111,7 @@
     dns: DnsSettings = msgspec.field(default_factory=DnsSettings)
     queues: QueueSettings = msgspec.field(default_factory=QueueSettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
+    newer: NewerSettings = msgspec.field(default_factory=NewerSettings)
 
 
 def load(path: str) -> Operator:
@@ -111,6 +123,15 @@
     """What types cannot tell."""
     if operator.limits != LimitSettings() and not operator.queues.use:
         yield Fault(("limits",), "limits needs queues.use = true")
+    newer = operator.newer
+    if newer != NewerSettings() and not newer.types:
+        yield Fault(("newer",), "newer needs types, the servers' types in the list, as in [\"v2\"]")
+    if newer.tls and not newer.ca:
+        yield Fault(("newer", "ca"), "newer.ca is missing; it is the file of the authority that servers have")
+    if bool(newer.certificate) != bool(newer.key):
+        yield Fault(("newer", "certificate"), "newer.certificate and newer.key go together")
+    if operator.dns.type and operator.dns.type in newer.types:
+        yield Fault(("dns", "type"), f"dns.type = {operator.dns.type!r} is among newer.types")
     dns = operator.dns
     if dns.listen and not (dns.upstreams or dns.type or dns.zone.origin or dns.zone.files):
         why = "dns.upstreams is missing; it is a list of at least one host:port, or there is a dns.type or "
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -155,8 +155,8 @@
     tenant: int
     message: Any  # for the back of its protocol
     client: Client
-    who: int = 0  # the client within its tenant, where it is known
     upload: Upload | None = None  # the body, if it is too long to be held
+    who: int = 0  # the client within its tenant, where it is known
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/sagetrack/h2/mixed.py
@@ -0,0 +1,125 @@
+"""One fleet of both formats: each call goes to its server in the format that the server speaks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import replace
+from typing import Any
+
+from sagetrack.core.calls import Entry
+from sagetrack.core.clock import now_us
+from sagetrack.core.gateway import Answer, Attempt, Back, Call, Source, Watcher
+from sagetrack.decide.interface import LoadReport, Outcome, ServerStatus
+from sagetrack.decide.moving import Move
+from sagetrack.h2.back import NewAttempt, NewPools
+
+
+FAILED = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED})
+
+
+class Counting:
+    """Hears of an attempt before its watcher does, and counts how each format fares."""
+
+    __slots__ = ("mixed", "newer", "watcher")
+
+    def __init__(self, watcher: Watcher, mixed: Mixed, newer: bool) -> None:
+        self.watcher, self.mixed, self.newer = watcher, mixed, newer
+
+    def on_written(self) -> None:
+        self.watcher.on_written()
+
+    def on_begun(self, attempt: Attempt, head: Answer, source: Source) -> None:
+        self.watcher.on_begun(attempt, head, source)
+
+    def on_piece(self, attempt: Attempt, data: bytes) -> None:
+        self.watcher.on_piece(attempt, data)
+
+    def on_end(
+        self, attempt: Attempt, outcome: Outcome, answer: Answer | None, load: LoadReport | None
+    ) -> None:
+        told = outcome is Outcome.OK or outcome in FAILED
+        if told and self.mixed.move.record(self.newer, outcome is not Outcome.OK, now_us()):
+            self.mixed.on_move()
+        self.watcher.on_end(attempt, outcome, answer, load)
+
+
+class Mixed:
+    """Servers of the older format behind `old`, of the newer one behind `new`, by their types."""
+
+    def __init__(
+        self, old: Back, new: NewPools, kinds: Collection[int], move: Move, on_move: Callable[[], None]
+    ) -> None:
+        self.old, self.new, self.kinds = old, new, frozenset(kinds)
+        self.move, self.on_move = move, on_move
+        self.entries: dict[int, Entry] = {}  # as they are listed
+        self.factors = (1.0, 1.0)
+
+    def weighed(self, entries: list[Entry]) -> list[Entry]:
+        """The list as the module is to see it: weights turned so that the newer format has its share."""
+        for entry in entries:
+            if entry.listed.status is ServerStatus.GONE:
+                self.entries.pop(entry.listed.server, None)
+            else:
+                self.entries[entry.listed.server] = entry
+        return [self.turned(entry) for entry in entries]
+
+    def turned(self, entry: Entry) -> Entry:
+        factor = self.factors[entry.listed.kind in self.kinds]
+        listed = replace(entry.listed, weight=entry.listed.weight * factor)
+        return Entry(entry.name, entry.address, listed)
+
+    def look(self) -> list[Entry]:
+        """Entries whose weight has changed, since the share or a verdict on the newer format has."""
+        sums = [0.0, 0.0]
+        for entry in self.entries.values():
+            if entry.listed.status is ServerStatus.READY:
+                sums[entry.listed.kind in self.kinds] += entry.listed.weight
+        factors = self.move.factors(now_us(), *sums)
+        if factors == self.factors:
+            return []
+        self.factors = factors
+        return [self.turned(entry) for entry in self.entries.values()]
+
+    def speaks_new(self, server: int) -> bool:
+        return server in self.new.hosts
+
+    def put(self, entry: Entry) -> None:
+        """A server that changes its format leaves the one side and comes to the other."""
+        number = entry.listed.server
+        if entry.listed.kind in self.kinds:
+            if number in self.old.listed:
+                self.old.remove(number)
+            self.new.put(entry)
+        else:
+            if number in self.new.listed:
+                self.new.remove(number)
+            self.old.put(entry)
+
+    def remove(self, server: int) -> None:
+        (self.new if self.speaks_new(server) else self.old).remove(server)
+
+    @property
+    def listed(self) -> Collection[int]:
+        return [*self.old.listed, *self.new.listed]
+
+    def lives(self) -> dict[int, int]:
+        return self.old.lives() | self.new.lives()
+
+    def begin(self, call: Call, server: int, wait_us: int, watcher: Watcher) -> Any:
+        newer = self.speaks_new(server)
+        back: Any = self.new if newer else self.old
+        return back.begin(call, server, wait_us, Counting(watcher, self, newer))
+
+    def cancel(self, attempt: Any) -> None:
+        (self.new if isinstance(attempt, NewAttempt) else self.old).cancel(attempt)
+
+    def close_idle(self, server: int) -> None:
+        (self.new if self.speaks_new(server) else self.old).close_idle(server)
+
+    def probe(self, server: int, told: Callable[[Outcome, int, LoadReport | None], None]) -> None:
+        if not self.speaks_new(server):
+            self.old.probe(server, told)
+
+    def close(self) -> None:
+        self.old.close()
+        self.new.close()
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -69,6 +69,7 @@
         longest_us = max(klass.give_up_us for klass in config.settings.classes)
         self.drain = Drain(longest_us / 1e6)
         self.overlap: Siblings = Alone()
+        self.objection: Callable[[bytes], str | None] | None = None  # why a call cannot be served here
         self.describe_peers: Callable[[], list[str]] = lambda: ["messages between gateways are off"]
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
@@ -500,7 +501,11 @@
                 raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
-        call = self.call = read_call(request, path, self.server.config, self)
+        call = read_call(request, path, self.server.config, self)
+        objection = self.server.objection
+        if objection is not None and (why := objection(call.message.head)) is not None:
+            raise RequestError(400, why)
+        self.call = call
         if not call.who and self.server.config.settings.door is not None:
             call.who = self.address_id()
         if not self.server.gateway.arrive(call):
--- a/sagetrack/lab/figures.py
+++ b/sagetrack/lab/figures.py
@@ -47,6 +47,7 @@
     advice_right: float = 1.0  # share of those who came back as told and were served then
     jain_members: float = 1.0  # Jain's index over members' service within their share
     jain_clients: float = 1.0  # over the clients of the member in which they differ the most
+    duplicate_executions: int = 0  # of one key within its window, in its scope
     dns_queries: int = 0
     dns_service: float = 1.0  # share of DNS queries answered within their aim
     dns_p99_ms: float = 0.0
@@ -117,6 +118,7 @@
     made.late = late > LATE_SHARE * max(1, made.requests)
     advice(made, records)
     fairness(made, records, scenario, settled)
+    made.duplicate_executions = duplicates(records, scenario)
     dns = [row for row in records.of("dns") if row[4] >= settled]
     if dns:
         made.dns_queries = len(dns)
@@ -133,6 +135,21 @@
     return made
 
 
+def duplicates(records: Records, scenario: Scenario) -> int:
+    """Executions that took effect a second time within the key's window, wherever they were."""
+    keys = {row[7]: row[4] for row in records.of("ask") if row[7] is not None}
+    last: dict[int, int] = {}
+    found = 0
+    for row in records.of("run"):
+        key, effect = row[4], row[5]
+        if key is None or not effect:
+            continue
+        window = scenario.classes[keys[key]].window_ms * 1000 if key in keys else 0
+        found += key in last and row[1] - last[key] < window
+        last[key] = row[1]
+    return found
+
+
 ADVICE_SLACK = 0.2  # of an advised wait: who comes back within it has come as told
 
 
--- a/sagetrack/lab/real.py
+++ b/sagetrack/lab/real.py
@@ -28,6 +28,7 @@
 
 from sagetrack.lab.dnsclients import DnsSide
 from sagetrack.lab.measure import cpu_s, free_port, memory_mb
+from sagetrack.lab.newserver import NewServerConnection
 from sagetrack.lab.records import Records
 from sagetrack.lab.scenario import Scenario, Trouble, platform_settings
 from sagetrack.lab.server import Server
@@ -74,11 +75,13 @@
 
 
 def door_operator(scenario: Scenario) -> str:
-    """What the operator's file of a gateway says of fair queues and limits."""
+    """What the operator's file of a gateway says of fair queues, limits and newer servers."""
     door = scenario.door
+    newer = scenario.fleet.new_share > 0 or scenario.fleet.roll_new
+    text = '[newer]\ntypes = ["v2"]\n' if newer else ""
     if not door.use:
-        return ""
-    return (
+        return text
+    return text + (
         f"[queues]\nuse = true\npatience = {door.patience:g}\nmemory_mb = {door.memory_mb:g}\n"
         f"[limits]\nadaptive = {str(door.adaptive).lower()}\nclient_per_s = {door.client_per_s:g}\n"
         f"member_per_s = {door.member_per_s:g}\n"
@@ -432,6 +435,11 @@
             for gateway, processes in self.processes.items():
                 if self.world.alive[gateway]:
                     processes[-1].process.send_signal(signal.SIGHUP)
+        elif trouble.kind == "goaway" and on:
+            for host in self.hosts.values():
+                for connection in list(host.connections):
+                    if isinstance(connection, NewServerConnection):
+                        connection.goaway()
         elif trouble.kind == "slow-dns" and self.dns is not None:
             self.dns.slow(trouble, on)
         elif trouble.kind == "discovery-down" and not on:
--- a/sagetrack/lab/scenario.py
+++ b/sagetrack/lab/scenario.py
@@ -58,6 +58,8 @@
     handshake_ms: NotNegative = 1.0  # of its work for a new connection
     idle_s: Positive = 10.0  # an unused connection is closed
     choke: Choke | None = None
+    new_share: Share = 0.0  # of the servers, that speak the newer format; in real time
+    roll_new: bool = False  # a deploy brings servers of the newer format
 
 
 class Network(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -138,7 +140,7 @@
 
     kind: Literal[
         "slow", "burst", "deploy", "gateway-death", "gateway-upgrade", "discovery-down", "partition", "skew",
-        "crowd", "vanish", "spoilt", "reset", "rude", "overbook", "reload", "slow-dns",
+        "crowd", "vanish", "spoilt", "reset", "rude", "overbook", "reload", "slow-dns", "goaway",
     ]  # fmt: skip
     at_s: NotNegative
     seconds: Positive = 5.0
--- a/sagetrack/lab/sockets.py
+++ b/sagetrack/lab/sockets.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from sagetrack.lab.newserver import NewServerConnection
 from sagetrack.lab.server import Job, Result, Server
 from sagetrack.lab.world import GONE, Listed, World
 
@@ -247,12 +248,13 @@
         self, world: World, server: Server, calls: dict[str, Any], distance_us: Callable[[int, int], int]
     ) -> None:
         self.world, self.server, self.calls = world, server, calls
-        self.connections: set[ServerConnection] = set()
+        self.connections: set[ServerConnection | NewServerConnection] = set()
+        speaks = NewServerConnection if server.number in world.newer else ServerConnection
         self.distance_us: Callable[[int], int] = lambda gateway: distance_us(gateway, server.number)
         self.doors = {
             gateway: Door(
                 f"127.20.{gateway + 1}.{server.number % 250 + 1}",
-                lambda g=gateway: ServerConnection(self, g),  # type: ignore[misc]
+                lambda g=gateway: speaks(self, g),  # type: ignore[misc]
             )
             for gateway in world.alive
         }
@@ -288,7 +290,8 @@
         since = self.world.since_us(self.gateway, entry)
         return {
             "name": f"s-{entry.server}", "address": self.addresses(self.gateway, entry.server),
-            "zone": self.world.scenario.fleet.zones[entry.zone], "type": "plain", "group": entry.rack,
+            "zone": self.world.scenario.fleet.zones[entry.zone],
+            "type": "v2" if entry.server in self.world.newer else "plain", "group": entry.rack,
             "status": entry.status, "weight": 1.0, "since_ms": self.base_ms + since // 1000 if since else 0,
         }  # fmt: skip
 
--- a/sagetrack/lab/world.py
+++ b/sagetrack/lab/world.py
@@ -149,6 +149,7 @@
         self.draw_client = random.Random(f"{seed}/client")
         self.draw_peers = random.Random(f"{seed}/peers")
         self.servers: dict[int, Server] = {}
+        self.newer: set[int] = set()  # servers that speak the newer format
         self.roster = Roster()
         self.next_server = 1
         self.keys: dict[str, Keys] = {"all": Keys()}
@@ -186,7 +187,10 @@
         """Stand up the warm fleet, and list it."""
         for number in range(self.scenario.fleet.servers):
             rack = number % self.racks
-            self._add_server(zone=number % len(self.scenario.fleet.zones), rack=rack, cold=False)
+            share = self.scenario.fleet.new_share
+            newer = int((number + 1) * share) > int(number * share)
+            zone = number % len(self.scenario.fleet.zones)
+            self._add_server(zone=zone, rack=rack, cold=False, newer=newer)
         for server in self.servers.values():
             self.roster.entries[server.number] = Listed(server.number, server.zone, server.rack)
             for gateway in self.alive:
@@ -206,7 +210,7 @@
 
     # Servers
 
-    def _add_server(self, zone: int, rack: int, cold: bool) -> Server:
+    def _add_server(self, zone: int, rack: int, cold: bool, newer: bool = False) -> Server:
         fleet, now = self.scenario.fleet, self.clock.now_us()
         number, self.next_server = self.next_server, self.next_server + 1
         keys = {
@@ -222,6 +226,8 @@
             ),
         )  # fmt: skip
         self.servers[number] = server
+        if newer:
+            self.newer.add(number)
         self.records.add("start", now, number, zone, rack, int(cold), round(speed * fleet.cores, 6))
         self.on_server(server)
         return server
@@ -602,7 +608,8 @@
         self.on_server_gone(server.number)
 
     def _successor(self, server: Server) -> None:
-        fresh = self._add_server(server.zone, server.rack, cold=True)
+        newer = server.number in self.newer or self.scenario.fleet.roll_new
+        fresh = self._add_server(server.zone, server.rack, cold=True, newer=newer)
         since = self.clock.now_us()
         self.clock.at(
             since + self._delay(self.scenario.discovery.delay_s),
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -12,11 +12,12 @@
 from sagetrack.decide.interface import ListKind, Shares
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
-from sagetrack.core.gateway import Gateway
+from sagetrack.core.gateway import Back, Gateway
 from sagetrack.http.line import HttpLine, connect
 from sagetrack.ops.fairness import with_door
 from sagetrack.ops.fellowship import Handover, node_for
 from sagetrack.ops.listen import bind, inherit
+from sagetrack.ops.newer import Newer, mixed_back
 from sagetrack.ops.overlap import Overlap
 from sagetrack.roster.discovery import CallError, Discovery, number_of
 from sagetrack.roster.split import HTTP, Split
@@ -47,7 +48,10 @@
         self.zone_timer: asyncio.TimerHandle | None = None
         self.pools = Pools(config.settings)
         names = [name.decode() for name in config.names.classes]
-        self.gateway = Gateway(config.settings, config.seed, names, self.pools, config.known)
+        self.newer: Newer | None = None
+        found = mixed_back(config, operator, self.pools)
+        back: Back = self.pools if found is None else found[0]
+        self.gateway = Gateway(config.settings, config.seed, names, back, config.known)
         door = self.gateway.balancer.door
         if door is not None:
             members = [name.decode() for name in config.names.tenants]
@@ -60,7 +64,15 @@
         self.split: Split | None = None
         if asked is not None and asked.listen and asked.type:
             self.split = Split({number_of(asked.type, config.names.kinds): DNS})
-        on_list = self.gateway.on_list if self.split is None else self.on_list
+        self.on_http = self.gateway.on_list
+        if found is not None:
+            from sagetrack.h2.translate import untranslatable
+
+            self.newer = Newer(*found, self.gateway.on_list)
+            self.on_http = self.newer.on_list
+            self.server.objection = untranslatable
+            self.gateway.metrics.more.append(self.newer.figures)
+        on_list = self.on_http if self.split is None else self.on_list
         self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery)
 
     async def start(self) -> None:
@@ -83,7 +95,7 @@
         """Tell each protocol of its own servers."""
         assert self.split is not None
         parts = self.split.take(kind, entries)
-        self.gateway.on_list(kind, parts[HTTP])
+        self.on_http(kind, parts[HTTP])
         if self.dns is not None:
             self.dns.on_list(kind, parts[DNS])
 
@@ -170,6 +182,8 @@
         self.leave_peers()
         if self.zone_timer is not None:
             self.zone_timer.cancel()
+        if self.newer is not None:
+            self.newer.close()
         if self.dns is not None:
             self.dns.close()
         self.gateway.close()
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -82,7 +82,9 @@
             return 2
         gateway, server = instance.gateway, instance.server
         has_door = gateway.balancer.door is not None
-        reloader = Reloader(instance.discovery, operators if has_door else None, instance.on_shares)
+        on_keys = instance.newer.renew_keys if instance.newer is not None else None
+        path = operators if has_door else None
+        reloader = Reloader(instance.discovery, path, instance.on_shares, on_keys)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
         admin = Admin(server)
         address: Address | None = config.admin
--- a/sagetrack/ops/reload.py
+++ b/sagetrack/ops/reload.py
@@ -29,9 +29,11 @@
     """Reads LB_CONFIG once for each time that is asked, or once for several that come together."""
 
     def __init__(
-        self, discovery: Discovery, operator: str | None = None, on_shares: OnShares | None = None
-    ) -> None:
+        self, discovery: Discovery, operator: str | None = None, on_shares: OnShares | None = None,
+        on_keys: Callable[[], None] | None = None,
+    ) -> None:  # fmt: skip
         self.discovery, self.operator, self.on_shares = discovery, operator, on_shares
+        self.on_keys = on_keys
         self.asked = False
         self.reading: asyncio.Task[None] | None = None
 
@@ -47,6 +49,8 @@
                 # Off the loop: the disk may be slow, and the file long.
                 config = await asyncio.to_thread(load)
                 self.take(config)
+                if self.on_keys is not None:
+                    self.on_keys()
                 if self.operator is not None and self.on_shares is not None:
                     self.on_shares(await asyncio.to_thread(new_shares, self.operator, config))
         except ConfigError as error:
--- /dev/null
+++ b/tests/test_h2.py
@@ -0,0 +1,452 @@
+"""The newer format: values, translation both ways, how streams end, and whole calls over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import ssl
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trustme
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sagetrack.config.checked import FileError
+from sagetrack.config.operator import load as load_operator
+from sagetrack.config.platform import parse
+from sagetrack.core.bodies import Allowance, Upload
+from sagetrack.core.calls import Entry, Reply
+from sagetrack.core.gateway import Call
+from sagetrack.decide.interface import ListedServer, Outcome, ServerStatus
+from sagetrack.decide.moving import LEAST, STEP_US, Move
+from sagetrack.h2 import outcomes
+from sagetrack.h2.back import Line, NewPools
+from sagetrack.h2.fuzz import fuzz
+from sagetrack.h2.messages import LIMIT, MessageError, Unpacker, pack
+from sagetrack.h2.metadata import TranslationError, binary, from_binary, timeout_header, timeout_us
+from sagetrack.h2.outcomes import Reset, Status
+from sagetrack.h2.tls import Keys, KeysError
+from sagetrack.h2.translate import from_new, to_new, to_new_answer, to_old, untranslatable
+from sagetrack.http.back import Message
+from sagetrack.lab.newserver import Asked, NewConnection
+from tests.sockets import configuration, on_loop, request, running, until
+
+SETTINGS = parse(configuration("127.0.0.1:9")).settings
+HEAD = b"POST /hold/7 HTTP/1.1\r\nX-Call-Id: a1\r\nX-Call-Class: hold\r\nX-CaLLer: acme\r\n"
+
+
+@given(st.integers(1, 10**15))
+def test_a_time_out_has_eight_digits_and_is_never_longer_than_it_was(us: int) -> None:
+    text = timeout_header(us)
+    assert (len(text) <= 9 and us * 0.98 - 1_000_000 <= timeout_us(text) <= us) or us >= 99_999_999 * 10**6
+
+
+@pytest.mark.parametrize("text", ["", "5", "123456789S", "5x", "-1S", "1.5S", "\u0663S"])
+def test_a_time_out_that_is_none_is_named(text: str) -> None:
+    with pytest.raises(TranslationError):
+        timeout_us(text)
+
+
+@given(st.binary(max_size=255))
+def test_binary_values_come_back_with_and_without_padding(value: bytes) -> None:
+    assert from_binary(binary(value)) == value
+    assert from_binary(binary(value) + "=" * (-len(binary(value)) % 4)) == value
+
+
+NAMES = st.text("abcXYZ019-_.!#$%&'*+^`|~", min_size=1, max_size=20).map(lambda n: b"X-T-" + n.encode())
+VALUES = st.binary(max_size=60).map(
+    lambda v: bytes(b for b in v if b == 9 or 32 <= b < 127 or b >= 128).strip(b" \t")
+)
+
+
+@given(
+    st.lists(st.tuples(NAMES, VALUES), max_size=12),
+    st.binary(max_size=300),
+    st.binary(min_size=1, max_size=255).map(lambda v: bytes(33 + b % 94 for b in v)),
+    st.text("abc/%20?=&~", max_size=40),
+)
+def test_any_call_comes_through_both_ways_as_it_was(
+    fields: list[tuple[bytes, bytes]], body: bytes, key: bytes, tail: str
+) -> None:
+    lines = [*fields, (b"Idempotency-KEY", key)]
+    head = HEAD.replace(b"/hold/7", b"/hold/" + tail.encode())
+    head += b"".join(b"%s: %s\r\n" % line for line in lines)
+    headers, message = to_new(head, body, None, 1_500_000, "h:1")
+    said = dict(headers)
+    assert said["grpc-timeout"] == "1500000u" and said["x-caller"] == "acme" and said["x-call-id"] == "a1"
+    assert from_binary(said["idempotency-key-bin"]) == key
+    again, same, length, budget = from_new(headers, message)
+    assert again == head + b"Content-Length: %d\r\n" % len(body)
+    assert (same, length, budget) == (body, None, 1_500_000)
+    answer, _ = to_old(to_new_answer(fields, body))
+    assert (answer.headers, answer.body) == (fields, body)
+
+
+def test_a_key_of_255_bytes_with_every_printable_character_is_exact() -> None:
+    key = (bytes(range(33, 127)) * 3)[:255]
+    headers, message = to_new(HEAD + b"Idempotency-Key: %s\r\n" % key, b"", None, 1, "h")
+    assert b"Idempotency-Key: " + key in from_new(headers, message)[0]
+
+
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [(b"X-Caller: \xe9\r\n", "X-Caller"), (b"X-Odd: a\x01\r\n", "X-Odd"), (b"no colon\r\n", "no colon")],
+)
+def test_what_cannot_pass_is_named(line: bytes, named: str) -> None:
+    why = untranslatable(HEAD + line)
+    assert why is not None and named in why and untranslatable(HEAD) is None
+
+
+@pytest.mark.parametrize(
+    "message",
+    [b"\xff\xff", to_new_answer([(b"bad name", b"x")], b""), to_new_answer([(b"a", b"x\r\n")], b"")],
+)
+def test_an_answer_without_counterpart_is_refused(message: bytes) -> None:
+    with pytest.raises(TranslationError):
+        to_old(message)
+
+
+@given(st.lists(st.binary(max_size=50), max_size=6), st.integers(1, 20))
+def test_messages_come_out_of_pieces_of_any_size(messages: list[bytes], size: int) -> None:
+    data, unpacker = b"".join(map(pack, messages)), Unpacker()
+    found = [m for at in range(0, len(data), size) for m in unpacker.feed(data[at : at + size])]
+    assert found == messages and not unpacker.rest
+
+
+@pytest.mark.parametrize("data", [b"\1\0\0\0\1x", b"\0" + (LIMIT + 1).to_bytes(4)])
+def test_compressed_and_oversized_messages_are_not_held(data: bytes) -> None:
+    with pytest.raises(MessageError):
+        list(Unpacker().feed(data))
+
+
+def test_the_table_of_outcomes() -> None:
+    for status in [*Status, None, 99]:
+        for whole in (True, False):
+            for rejected in (True, False):
+                expected = Outcome.ERROR
+                if status == Status.OK and whole:
+                    expected = Outcome.OK
+                elif status in (8, 14) and rejected and not whole:
+                    expected = Outcome.FULL
+                assert outcomes.of_status(status, whole, rejected) is expected
+    for code in [*Reset, 99]:
+        refused = code == Reset.REFUSED_STREAM
+        assert outcomes.of_reset(code, True) is (Outcome.FULL if refused else Outcome.RESET)
+        assert outcomes.of_reset(code, False) is (Outcome.FULL if refused else Outcome.ERROR)
+    assert outcomes.of_goaway(5, 3) is Outcome.MOOT and outcomes.of_goaway(3, 3) is None
+    assert (outcomes.of_loss(True), outcomes.of_loss(False)) == (Outcome.RESET, Outcome.CONNECT_FAILED)
+    assert (outcomes.of_deadline(True), outcomes.of_deadline(False)) == (
+        Outcome.TIMEOUT, Outcome.CONNECT_FAILED,
+    )  # fmt: skip
+
+
+def test_a_share_moves_by_weight_and_goes_back_when_the_newer_format_fails() -> None:
+    move, now = Move(0.25), 1_000_000
+    old, new = move.factors(now, 6.0, 2.0)
+    assert 2.0 * new / (6.0 * old + 2.0 * new) == pytest.approx(0.25)
+    assert move.factors(now, 0.0, 2.0) == (1.0, 1.0)  # nothing else is there
+    for _ in range(200):
+        assert not move.record(False, False, now)
+    left = [move.record(True, n % 3 == 0, now) for n in range(3 * LEAST)]
+    assert left.count(True) == 1 and move.part(now) == 0.0 and move.factors(now, 6.0, 2.0)[1] < 1e-5
+    back = move.held_until_us
+    parts = [move.part(back + n * STEP_US) for n in range(5)]
+    assert parts == sorted(parts) and parts[0] == 0.1 and parts[-1] == 1.0
+    equal = Move(0.25)
+    draw = random.Random(1)
+    assert not any(equal.record(bool(n % 2), draw.random() < 0.2, now) for n in range(4000))  # in common
+
+
+# Over sockets
+
+
+class Heard:
+    """A watcher that keeps what it hears."""
+
+    def __init__(self) -> None:
+        self.written = 0
+        self.ends: list[tuple[Outcome, Reply | None]] = []
+        self.head: Reply | None = None
+        self.pieces: list[bytes] = []
+        self.source: Any = None
+
+    def on_written(self) -> None:
+        self.written += 1
+
+    def on_begun(self, attempt: Any, head: Any, source: Any) -> None:
+        self.head, self.source = head, source
+
+    def on_piece(self, attempt: Any, data: bytes) -> None:
+        self.pieces.append(data)
+
+    def on_end(self, attempt: Any, outcome: Outcome, answer: Any, load: Any) -> None:
+        self.ends.append((outcome, answer))
+
+
+class Rig:
+    """Pools of the newer format and one stand-in server."""
+
+    def __init__(self, pools: NewPools, entry: Entry) -> None:
+        self.pools, self.entry = pools, entry
+        self.connections: list[NewConnection] = []
+        self.asked: list[tuple[NewConnection, Asked]] = []
+
+    def ask(self, body: bytes = b"", upload: Upload | None = None, wait_us: int = 10_000_000) -> Heard:
+        heard = Heard()
+        call = Call("a", 0, wait_us, None, None, False, 0, Message(HEAD, body), None, upload)  # type: ignore[arg-type]
+        self.pools.begin(call, 1, wait_us, heard)
+        return heard
+
+    @property
+    def line(self) -> Line:
+        return self.pools.hosts[1].lines[0]
+
+    async def until_asked(self, count: int) -> None:
+        await until(lambda: len(self.asked) >= count)
+
+
+@asynccontextmanager
+async def rigged(
+    most: int = 100, on_call: Callable[[NewConnection, Asked], None] | None = None,
+    keys: tuple[ssl.SSLContext, Callable[[], ssl.SSLContext | None]] | None = None,
+) -> AsyncIterator[Rig]:  # fmt: skip
+    rig: Rig
+
+    def make() -> NewConnection:
+        take = on_call or (lambda connection, asked: rig.asked.append((connection, asked)))
+        connection = NewConnection(take, most)
+        rig.connections.append(connection)
+        return connection
+
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(make, "127.0.0.1", 0, ssl=keys[0] if keys else None)
+    place = server.sockets[0].getsockname()
+    pools = NewPools(SETTINGS, keys[1] if keys else lambda: None)
+    rig = Rig(pools, Entry("n", ("127.0.0.1", place[1]), ListedServer(1)))
+    pools.put(rig.entry)
+    try:
+        yield rig
+    finally:
+        pools.close()
+        server.close()
+
+
+@on_loop
+async def test_many_streams_share_a_connection_and_a_slow_one_holds_none_back() -> None:
+    async with rigged() as rig:
+        calls = [rig.ask(b"b%d" % n) for n in range(40)]
+        await rig.until_asked(40)
+        assert len(rig.connections) == 1
+        for connection, asked in rig.asked[1:]:
+            connection.answer(asked, body=asked.body)
+        await until(lambda: sum(len(c.ends) for c in calls) == 39)
+        bodies = {c.ends[0][1].body for c in calls if c.ends and c.ends[0][1]}
+        assert bodies == {b"b%d" % n for n in range(1, 40)} and not calls[0].ends
+
+
+@on_loop
+async def test_goaway_in_the_middle_of_streams_ends_those_above_as_never_run() -> None:
+    async with rigged() as rig:
+        calls = [rig.ask() for _ in range(100)]
+        await rig.until_asked(100)
+        rig.connections[0].goaway(last=99)
+        await until(lambda: sum(len(c.ends) for c in calls) == 50)
+        assert {c.ends[0][0] for c in calls[50:]} == {Outcome.MOOT}
+        later = rig.ask()
+        await until(lambda: len(rig.connections) == 2)
+        for connection, asked in rig.asked[:50]:
+            connection.answer(asked)
+        await until(lambda: all(c.ends for c in calls))
+        assert {c.ends[0][0] for c in calls[:50]} == {Outcome.OK}
+        await until(lambda: rig.connections[0].transport is None)  # it left once all was answered
+        assert not later.ends
+
+
+@on_loop
+async def test_each_way_a_stream_can_end_is_told_and_the_others_go_on() -> None:
+    async with rigged() as rig:
+        ways: list[tuple[Callable[[NewConnection, Asked], None], Outcome]] = [
+            (lambda c, a: c.reset(a, Reset.REFUSED_STREAM), Outcome.FULL),
+            (lambda c, a: c.reset(a, Reset.INTERNAL_ERROR), Outcome.RESET),
+            (lambda c, a: c.trailers_only(a, 8, x_rejected="1"), Outcome.FULL),
+            (lambda c, a: c.trailers_only(a, 8), Outcome.ERROR),
+            (lambda c, a: c.trailers_only(a, 0), Outcome.ERROR),
+            (lambda c, a: c.answer(a, fields=[]), Outcome.OK),
+        ]
+        kept = rig.ask()
+        await rig.until_asked(1)
+        for number, (way, outcome) in enumerate(ways):
+            heard = rig.ask()
+            await rig.until_asked(number + 2)
+            way(*rig.asked[-1])
+            await until(lambda heard=heard: heard.ends)  # type: ignore[misc]
+            assert heard.ends[0][0] is outcome, number
+        assert not kept.ends and len(rig.connections) == 1
+        transport = rig.connections[0].transport
+        assert transport is not None
+        transport.abort()
+        await until(lambda: kept.ends)
+        assert kept.ends == [(Outcome.RESET, None)]
+
+
+@on_loop
+async def test_settings_that_lower_the_streams_are_kept_to_and_further_calls_get_other_connections() -> None:
+    async with rigged(most=3) as rig:
+        first = [rig.ask()]
+        await rig.until_asked(1)
+        calls = first + [rig.ask() for _ in range(5)]
+        await rig.until_asked(6)
+        assert len(rig.connections) == 2
+        assert all(len(connection.asked) <= 3 for connection in rig.connections)
+        for connection, asked in rig.asked:
+            connection.answer(asked)
+        await until(lambda: all(c.ends for c in calls))
+        assert {c.ends[0][0] for c in calls} == {Outcome.OK}
+
+
+@on_loop
+async def test_a_window_that_never_opens_holds_up_one_call_until_its_time_is_over() -> None:
+    async with rigged() as rig:
+        await warmed(rig)
+        rig.connections[0].opens_windows = False
+        stuck = rig.ask(b"x" * 200_000, wait_us=300_000)
+        await until(lambda: stuck.ends)
+        assert stuck.ends[0][0] is Outcome.TIMEOUT and not stuck.written
+
+
+async def warmed(rig: Rig) -> None:
+    heard = rig.ask()
+    await rig.until_asked(1)
+    rig.asked[0][0].answer(rig.asked[0][1])
+    await until(lambda: heard.ends)
+
+
+@on_loop
+async def test_long_bodies_pass_in_bounded_memory_both_ways() -> None:
+    size = 3_000_000
+    async with rigged(on_call=lambda c, a: c.answer(a, body=a.body, parts=30)) as rig:
+        upload = Upload(size, Allowance(64))
+        heard = rig.ask(upload=upload)
+        fed = most = 0
+        while fed < size:
+            await until(lambda: not upload.is_full)
+            upload.feed(b"z" * 50_000)
+            fed += 50_000
+            most = max(most, upload.buffered)
+        upload.end()
+        await until(lambda: heard.head is not None)
+        heard.source.pause()
+        for _ in range(50):
+            await asyncio.sleep(0)
+        assert sum(map(len, heard.pieces)) < 1_000_000  # the server's window has closed
+        heard.source.resume()
+        await until(lambda: heard.ends)
+        assert heard.head is not None and heard.head.length == size
+        assert sum(map(len, heard.pieces)) == size and heard.ends[0][0] is Outcome.OK and most <= 200_000
+
+
+@on_loop
+async def test_a_draining_or_gone_server_gets_nothing_after_the_grace() -> None:
+    async with rigged() as rig:
+        await warmed(rig)
+        rig.pools.settings = replace(SETTINGS, stop_sending_within_us=0)
+        draining = ListedServer(1, ServerStatus.DRAINING)
+        rig.pools.put(Entry("n", rig.entry.address, draining))
+        await asyncio.sleep(0.001)
+        assert rig.ask().ends[0][0] is Outcome.CONNECT_FAILED and len(rig.asked) == 1
+
+
+@on_loop
+async def test_a_flood_of_pings_ends_the_connection_with_the_right_error() -> None:
+    async with rigged() as rig:
+        heard = rig.ask()
+        await rig.until_asked(1)
+        transport = rig.connections[0].transport
+        assert transport is not None
+        transport.write((b"\0\0\x08\x06\0\0\0\0\0" + bytes(8)) * 2000)
+        await until(lambda: heard.ends)
+        assert heard.ends[0][0] is Outcome.RESET and not rig.pools.hosts[1].lines
+
+
+@on_loop
+async def test_a_server_that_is_not_there_fails_to_connect() -> None:
+    async with rigged() as rig:
+        rig.pools.put(Entry("n", ("127.0.0.1", 1), ListedServer(1, started_us=5)))
+        heard = rig.ask()
+        await until(lambda: heard.ends)
+        assert heard.ends[0][0] is Outcome.CONNECT_FAILED
+
+
+@on_loop
+async def test_keys_are_checked_renewed_and_kept_when_bad(tmp_path: Path) -> None:
+    authority = trustme.CA()
+    paths = {name: str(tmp_path / name) for name in ("ca", "cert", "key")}
+    authority.cert_pem.write_to_path(paths["ca"])
+    ours = authority.issue_cert("gateway")
+    ours.cert_chain_pems[0].write_to_path(paths["cert"])
+    ours.private_key_pem.write_to_path(paths["key"])
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    server.set_alpn_protocols(["h2"])
+    server.verify_mode = ssl.CERT_REQUIRED
+    authority.issue_cert("127.0.0.1").configure_cert(server)
+    authority.configure_trust(server)
+    keys = Keys(paths["ca"], paths["cert"], paths["key"])
+    assert keys.figures()["new_certificate_days"] > 1
+    async with rigged(keys=(server, lambda: keys.context)) as rig:
+        await warmed(rig)
+        Path(paths["key"]).write_text("no key")
+        before = keys.context
+        with pytest.raises(KeysError, match="cert with"):
+            keys.renew()
+        assert keys.context is before and not rig.line.over
+        stranger = trustme.CA()
+        stranger.cert_pem.write_to_path(paths["ca"])
+        other = Keys(paths["ca"])
+        rig.pools.secure = lambda: other.context
+        rig.line.leaving = True
+        heard = rig.ask()
+        await until(lambda: heard.ends)
+        assert heard.ends[0][0] is Outcome.CONNECT_FAILED
+
+
+@on_loop
+async def test_an_old_client_is_served_by_a_new_server_and_told_what_cannot_pass(tmp_path: Path) -> None:
+    file = tmp_path / "operator.toml"
+    file.write_text('[newer]\ntypes = ["v2"]\n')
+    seen: list[Asked] = []
+
+    def take(connection: NewConnection, asked: Asked) -> None:
+        seen.append(asked)
+        connection.answer(asked, body=b"new " + asked.body)
+
+    async with rigged(on_call=take) as rig:
+        config = configuration(f"127.0.0.1:{rig.entry.address[1]}")
+        config["known"]["endpoints"][0]["type"] = "v2"
+        async with running(config, load_operator(str(file))) as gateway:
+            answer = await gateway.ask(request("hold", b"old body"))
+            assert (answer.status, answer.body) == (200, b"new old body")
+            assert seen[0].headers["x-call-class"] == "hold" and "idempotency-key-bin" in seen[0].headers
+            odd = await gateway.ask(request(x_call_cost="5", x_again="\x80"))
+            assert odd.status == 400 and b"x-again" in odd.body.lower()
+            assert "svc_new_streams_total 1\n" in gateway.server.stats()
+
+
+def test_the_operators_file_is_checked(tmp_path: Path) -> None:
+    file = tmp_path / "operator.toml"
+    file.write_text('[newer]\nshare = 0.5\ntls = true\nkey = "k"\n')
+    with pytest.raises(FileError) as error:
+        load_operator(str(file))
+    assert len(error.value.faults) == 3
+    file.write_text('[newer]\ntypes = ["v2"]\ntls = true\nca = "/none/ca.pem"\n')
+    with pytest.raises(KeysError, match="/none/ca.pem"):
+        Keys(load_operator(str(file)).newer.ca)
+
+
+def test_mutated_frames_of_a_fixed_seed_break_nothing() -> None:
+    found = fuzz(3000, 3)
+    assert not found.wrong and found.closed > 100 and found.answered > 100
