--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -101,6 +101,7 @@
     ca: str = ""  # files in PEM
     certificate: str = ""
     key: str = ""
+    listen: list[Place] = msgspec.field(default_factory=list)  # for clients of the newer format
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -124,8 +125,10 @@
     if operator.limits != LimitSettings() and not operator.queues.use:
         yield Fault(("limits",), "limits needs queues.use = true")
     newer = operator.newer
-    if newer != NewerSettings() and not newer.types:
-        yield Fault(("newer",), "newer needs types, the servers' types in the list, as in [\"v2\"]")
+    if newer != NewerSettings() and not newer.types and not newer.listen:
+        yield Fault(("newer",), 'newer needs types, of servers in the list, as in ["v2"], or listen')
+    if newer.listen and newer.tls and not newer.certificate:
+        yield Fault(("newer", "certificate"), "newer.certificate is missing; newer.listen shows it")
     if newer.tls and not newer.ca:
         yield Fault(("newer", "ca"), "newer.ca is missing; it is the file of the authority that servers have")
     if bool(newer.certificate) != bool(newer.key):
--- a/sagetrack/h2/tls.py
+++ b/sagetrack/h2/tls.py
@@ -17,8 +17,24 @@
 
     def __init__(self, ca: str, certificate: str = "", key: str = "") -> None:
         self.ca, self.certificate, self.key = ca, certificate, key
+        self.server: ssl.SSLContext | None = None  # for clients; renewed in place
         self.context, self.ends_s = self.read()
 
+    def serve(self) -> ssl.SSLContext:
+        """The context that clients of the newer format meet: they need a certificate of our authority."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.set_alpn_protocols(["h2"])
+        context.verify_mode = ssl.CERT_REQUIRED
+        self.server = context
+        self.load_server()
+        return context
+
+    def load_server(self) -> None:
+        if self.server is not None:
+            self.server.load_verify_locations(self.ca)
+            self.server.load_cert_chain(self.certificate, self.key)
+
     def read(self) -> tuple[ssl.SSLContext, float]:
         """A context from the files as they are now, and when our certificate ends (seconds of Unix time).
 
@@ -47,6 +63,7 @@
     def renew(self) -> None:
         """Read the files again; KeysError, and the old keys stay, if they cannot be used."""
         self.context, self.ends_s = self.read()
+        self.load_server()  # the same files, which have just been found good
 
     def figures(self) -> dict[str, float]:
         """For the stats: days until our certificate ends."""
--- a/sagetrack/h2/translate.py
+++ b/sagetrack/h2/translate.py
@@ -23,7 +23,7 @@
 NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")  # of a field, RFC 9110, 5.5
 PLAIN = re.compile(rb"[\x20-\x7e]*")
-NO_FIELD = frozenset({b"content-length", b"transfer-encoding", b"connection", b"host"})
+NO_FIELD = frozenset({b"content-length", b"transfer-encoding", b"connection"})
 
 
 def split_head(head: bytes) -> tuple[str, bytes, list[Header]]:
@@ -143,6 +143,8 @@
         if not NAME.fullmatch(name) or not VALUE.fullmatch(value):
             raise TranslationError(f"a field {name[:40]!r} that is no header")
         lines.append(b"%s: %s" % (name, value))
+    if "host" not in {f.name.lower().decode("latin-1") for f in call.fields} and ":authority" in said:
+        carried[b"Host"] = said[":authority"].encode()
     for name, value in carried.items():
         if not VALUE.fullmatch(value):
             raise TranslationError(f"{name.decode()} has control characters")
@@ -154,6 +156,14 @@
     return b"\r\n".join(lines) + b"\r\n", call.body, whole, budget
 
 
+def old_body(message: bytes) -> bytes:
+    """The piece of a body that a further message of a call has."""
+    try:
+        return Call.FromString(message).body
+    except DecodeError:
+        raise TranslationError("a call that the schema does not know") from None
+
+
 def to_new_answer(headers: Iterable[Header], body: bytes) -> bytes:
     """The one message of a new answer for an old one."""
     fields = [Field(name=name, value=value) for name, value in headers if name.lower() not in NO_FIELD]
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -17,7 +17,7 @@
 from sagetrack.ops.fairness import with_door
 from sagetrack.ops.fellowship import Handover, node_for
 from sagetrack.ops.listen import bind, inherit
-from sagetrack.ops.newer import Newer, mixed_back
+from sagetrack.ops.newer import Newer, keys_for, mixed_back, reader, renew
 from sagetrack.ops.overlap import Overlap
 from sagetrack.roster.discovery import CallError, Discovery, number_of
 from sagetrack.roster.split import HTTP, Split
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from sagetrack.config.operator import Operator
     from sagetrack.dns.service import Service
+    from sagetrack.h2.front import NewFront
     from sagetrack.peers.node import Node
 
 DNS = "dns"
@@ -49,8 +50,10 @@
         self.pools = Pools(config.settings)
         names = [name.decode() for name in config.names.classes]
         self.newer: Newer | None = None
-        found = mixed_back(config, operator, self.pools)
-        back: Back = self.pools if found is None else found[0]
+        self.new_front: NewFront | None = None
+        self.keys = keys_for(operator)
+        mixed = mixed_back(config, operator, self.pools, self.keys)
+        back: Back = self.pools if mixed is None else mixed
         self.gateway = Gateway(config.settings, config.seed, names, back, config.known)
         door = self.gateway.balancer.door
         if door is not None:
@@ -65,13 +68,15 @@
         if asked is not None and asked.listen and asked.type:
             self.split = Split({number_of(asked.type, config.names.kinds): DNS})
         self.on_http = self.gateway.on_list
-        if found is not None:
+        if mixed is not None:
             from sagetrack.h2.translate import untranslatable
 
-            self.newer = Newer(*found, self.gateway.on_list)
+            self.newer = Newer(mixed, self.gateway.on_list)
             self.on_http = self.newer.on_list
             self.server.objection = untranslatable
             self.gateway.metrics.more.append(self.newer.figures)
+        if self.keys is not None:
+            self.gateway.metrics.more.append(self.keys.figures)
         on_list = self.on_http if self.split is None else self.on_list
         self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery)
 
@@ -86,6 +91,7 @@
         self.server.start(listener, self.discovery)
         self.join_peers()
         await self.start_dns()
+        await self.start_new_front()
 
     def on_shares(self, shares: tuple[float, ...]) -> None:
         """The operator has changed the members' shares."""
@@ -99,6 +105,27 @@
         if self.dns is not None:
             self.dns.on_list(kind, parts[DNS])
 
+    async def start_new_front(self) -> None:
+        """Take clients of the newer format, where the operator asks for it; ConfigError if that cannot be."""
+        asked = self.operator.newer if self.operator is not None else None
+        if asked is None or not asked.listen:
+            return
+        from sagetrack.h2.front import NewFront
+
+        front = NewFront(self.gateway, reader(self.config), lambda: self.server.drain.is_on)
+        secured = self.keys.serve() if self.keys is not None else None
+        places = [parse_address(place, "newer.listen") for place in asked.listen]
+        try:
+            await front.start(places, secured, shared=self.config.accept_fd is not None)
+        except OSError as error:
+            raise ConfigError(f"newer.listen {', '.join(asked.listen)}: {error.strerror or error}") from None
+        self.new_front = front
+        self.gateway.metrics.more.append(front.figures)
+
+    def renew_keys(self) -> None:
+        if self.keys is not None:
+            renew(self.keys)
+
     async def start_dns(self) -> None:
         """Answer DNS too, where the operator asks for it; ConfigError if that cannot be."""
         asked = self.operator.dns if self.operator is not None else None
@@ -184,6 +211,8 @@
             self.zone_timer.cancel()
         if self.newer is not None:
             self.newer.close()
+        if self.new_front is not None:
+            self.new_front.close()
         if self.dns is not None:
             self.dns.close()
         self.gateway.close()
--- a/sagetrack/ops/newer.py
+++ b/sagetrack/ops/newer.py
@@ -6,26 +6,50 @@
 from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Config, ConfigError
-from sagetrack.core.calls import Entry, OnList
-from sagetrack.core.gateway import Back
+from sagetrack.core.calls import Entry, Header, OnList
+from sagetrack.core.gateway import Back, Call, Client
 from sagetrack.core.log import log
 from sagetrack.decide.interface import ListKind
 from sagetrack.decide.moving import Move
+from sagetrack.http.requests import Request, RequestError, read_call
 from sagetrack.roster.discovery import number_of
 
 if TYPE_CHECKING:
     from sagetrack.config.operator import Operator
+    from sagetrack.h2.front import Read
     from sagetrack.h2.mixed import Mixed
     from sagetrack.h2.tls import Keys
 
 LOOK_S = 1.0  # between looks at the share of the newer format
 
 
+def reader(config: Config) -> Read:
+    """Reads calls of the newer format as those of the older one are read: one set of rules for both."""
+    from sagetrack.h2.front import ReadError
+    from sagetrack.h2.outcomes import Status
+
+    def read(
+        method: str, target: bytes, headers: list[Header], body: bytes, budget_us: int, client: Client
+    ) -> Call:
+        request = Request()
+        request.method, request.target, request.body = method.encode(), target, [body] if body else []
+        request.headers = [
+            *headers, *([(b"X-Budget-Ms", b"%d" % max(1, budget_us // 1000))] if budget_us else [])
+        ]  # fmt: skip
+        try:
+            return read_call(request, target.partition(b"?")[0], config, client)
+        except RequestError as error:
+            status = Status.UNIMPLEMENTED if error.status == 404 else Status.INVALID_ARGUMENT
+            raise ReadError(status, str(error)) from None
+
+    return read
+
+
 class Newer:
     """Both formats behind one back, the share between them, and the keys."""
 
-    def __init__(self, mixed: Mixed, keys: Keys | None, on_list: OnList) -> None:
-        self.mixed, self.keys, self.tell = mixed, keys, on_list
+    def __init__(self, mixed: Mixed, on_list: OnList) -> None:
+        self.mixed, self.tell = mixed, on_list
         self.loop = asyncio.get_running_loop()
         mixed.on_move = self.left
         self.timer = self.loop.call_later(LOOK_S, self.look)
@@ -52,46 +76,49 @@
         log(f"servers of the newer format fail more than the others: none of the share for {hold_s:.0f} s")
         self.loop.call_soon(self.turn)
 
-    def renew_keys(self) -> None:
-        """SIGHUP: read the keys again; bad ones are one line, and the old ones stay."""
-        if self.keys is None:
-            return
-        from sagetrack.h2.tls import KeysError
-
-        try:
-            self.keys.renew()
-        except KeysError as error:
-            log(f"the keys stay as they are: {error}")
-
     def figures(self) -> dict[str, float]:
         """For the stats."""
         move = self.mixed.move
-        found = self.mixed.new.figures() | {
+        return self.mixed.new.figures() | {
             "new_failing": round(move.new.failing, 4), "old_failing": round(move.old.failing, 4),
             "new_returns_total": move.returns,
         }  # fmt: skip
-        return found | (self.keys.figures() if self.keys is not None else {})
 
     def close(self) -> None:
         self.timer.cancel()
 
 
-def mixed_back(config: Config, operator: Operator | None, old: Back) -> tuple[Mixed, Keys | None] | None:
-    """The back of both formats; None where the operator has no newer servers, ConfigError for bad keys."""
+def keys_for(operator: Operator | None) -> Keys | None:
+    """The keys of the newer side, where it has TLS; ConfigError for bad ones."""
+    asked = operator.newer if operator is not None else None
+    if asked is None or not asked.tls:
+        return None
+    from sagetrack.h2.tls import Keys, KeysError
+
+    try:
+        return Keys(asked.ca, asked.certificate, asked.key)
+    except KeysError as error:
+        raise ConfigError(f"newer: {error}") from None
+
+
+def renew(keys: Keys) -> None:
+    """SIGHUP: read the keys again; bad ones are one line, and the old ones stay."""
+    from sagetrack.h2.tls import KeysError
+
+    try:
+        keys.renew()
+    except KeysError as error:
+        log(f"the keys stay as they are: {error}")
+
+
+def mixed_back(config: Config, operator: Operator | None, old: Back, keys: Keys | None) -> Mixed | None:
+    """The back of both formats; None where the operator has no newer servers."""
     asked = operator.newer if operator is not None else None
     if asked is None or not asked.types:
         return None
     from sagetrack.h2.back import NewPools
     from sagetrack.h2.mixed import Mixed
 
-    keys = None
-    if asked.tls:
-        from sagetrack.h2.tls import Keys, KeysError
-
-        try:
-            keys = Keys(asked.ca, asked.certificate, asked.key)
-        except KeysError as error:
-            raise ConfigError(f"newer: {error}") from None
     new = NewPools(config.settings, lambda: keys.context if keys is not None else None)
     kinds = [number_of(name, config.names.kinds) for name in asked.types]
-    return Mixed(old, new, kinds, Move(asked.share), lambda: None), keys
+    return Mixed(old, new, kinds, Move(asked.share), lambda: None)
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -82,7 +82,7 @@
             return 2
         gateway, server = instance.gateway, instance.server
         has_door = gateway.balancer.door is not None
-        on_keys = instance.newer.renew_keys if instance.newer is not None else None
+        on_keys = instance.renew_keys if instance.keys is not None else None
         path = operators if has_door else None
         reloader = Reloader(instance.discovery, path, instance.on_shares, on_keys)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
@@ -110,12 +110,16 @@
         instance.leave_peers()
         leaving = loop.create_task(server.leave())
         dns_leaving = loop.create_task(instance.dns.front.leave(loop.time() + 2.0)) if instance.dns else None
+        front = instance.new_front
+        new_leaving = loop.create_task(front.leave(loop.time() + 2.5)) if front is not None else None
         await asyncio.sleep(0)  # the way out has begun, and it knows when it ends
         try:
             async with asyncio.timeout_at(server.drain.end_s):
                 await leaving
                 if dns_leaving is not None:
                     await dns_leaving
+                if new_leaving is not None:
+                    await new_leaving
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
         counts = instance.pools.counts
--- a/tests/test_h2.py
+++ b/tests/test_h2.py
@@ -37,7 +37,7 @@
 from tests.sockets import configuration, on_loop, request, running, until
 
 SETTINGS = parse(configuration("127.0.0.1:9")).settings
-HEAD = b"POST /hold/7 HTTP/1.1\r\nX-Call-Id: a1\r\nX-Call-Class: hold\r\nX-CaLLer: acme\r\n"
+HEAD = b"POST /hold/7 HTTP/1.1\r\nHost: old\r\nX-Call-Id: a1\r\nX-Call-Class: hold\r\nX-CaLLer: acme\r\n"
 
 
 @given(st.integers(1, 10**15))
@@ -450,3 +450,88 @@
 def test_mutated_frames_of_a_fixed_seed_break_nothing() -> None:
     found = fuzz(3000, 3)
     assert not found.wrong and found.closed > 100 and found.answered > 100
+
+
+# Clients of the newer format
+
+
+@asynccontextmanager
+async def fronted(tmp_path: Path, *types: str, on_call: Any = None, hosts: int = 1) -> AsyncIterator[Any]:
+    """A gateway with a front of the newer format, servers behind it, and pools as its client."""
+    async with rigged(on_call=on_call) as behind:
+        config = configuration(*[f"127.0.0.1:{behind.entry.address[1]}"] * hosts)
+        for endpoint in config["known"]["endpoints"]:
+            endpoint["type"] = "v2"
+        file = tmp_path / "operator.toml"
+        file.write_text('[newer]\ntypes = ["v2"]\nlisten = ["127.0.0.1:0"]\n')
+        async with running(config, load_operator(str(file))) as gateway:
+            front = gateway.instance.new_front
+            assert front is not None
+            place = front.servers[0].sockets[0].getsockname()
+            async with rigged() as client:
+                client.pools.put(Entry("g", ("127.0.0.1", place[1]), ListedServer(1, started_us=1)))
+                yield client, gateway, front
+
+
+def asked_for(client: Rig, head: bytes, body: bytes = b"") -> Heard:
+    heard = Heard()
+    call = Call("a", 0, 5_000_000, None, None, False, 0, Message(head, body), None)  # type: ignore[arg-type]
+    client.pools.begin(call, 1, 5_000_000, heard)
+    return heard
+
+
+def head_of(number: int, klass: str = "hold", path: str = "hold") -> bytes:
+    key = b"Idempotency-Key: k%d\r\n" % number if klass == "hold" else b""
+    method = b"POST" if klass == "hold" else b"GET"
+    return b"%s /%s/7 HTTP/1.1\r\nHost: g\r\nX-Call-Id: id%d\r\nX-Call-Class: %s\r\n%s" % (
+        method, path.encode(), number, klass.encode(), key,
+    )  # fmt: skip
+
+
+@on_loop
+async def test_a_new_client_is_served_with_long_answers_and_what_is_wrong_is_named(tmp_path: Path) -> None:
+    def take(connection: NewConnection, asked: Asked) -> None:
+        connection.answer(asked, body=asked.body * 3000, parts=9)
+
+    async with fronted(tmp_path, on_call=take) as (client, _, front):
+        calls = [asked_for(client, head_of(n), b"%04d" % n) for n in range(20)]
+        long = asked_for(client, head_of(99), b"z" * 1000)  # 3,000,000 bytes pass through
+        await until(lambda: all(c.ends for c in [*calls, long]))
+        for n, heard in enumerate(calls):
+            assert heard.ends[0][1] is not None and heard.ends[0][1].body == b"%04d" % n * 3000
+        assert long.ends[0][0] is Outcome.OK and sum(map(len, long.pieces)) == 3_000_000
+        wrong = [
+            asked_for(client, head_of(200, "nothing", "nothing")),
+            asked_for(client, head_of(201, "hold", "search")),
+            asked_for(client, head_of(202), b"x" * 200_000),
+        ]
+        await until(lambda: all(c.ends for c in wrong))
+        assert [c.ends[0][0] for c in wrong] == [Outcome.ERROR] * 3 and front.counts.unreadable == 3
+
+
+@on_loop
+async def test_a_refusal_says_when_to_come_back_and_a_drain_moves_clients_on(tmp_path: Path) -> None:
+    async with fronted(tmp_path, on_call=lambda c, a: c.trailers_only(a, 8, x_rejected="1")) as made:
+        client, gateway, front = made
+        heard = asked_for(client, head_of(1))
+        await until(lambda: heard.ends)
+        assert heard.ends[0][0] is Outcome.FULL
+        (line,) = front.lines
+        gateway.server.standby()
+        await until(lambda: not front.lines)
+        assert line.leaving and client.pools.counts.goaways == 1
+
+
+@on_loop
+async def test_rapid_reset_ends_the_connection_and_nothing_is_left_in_work(tmp_path: Path) -> None:
+    async with fronted(tmp_path) as (client, gateway, front):
+        calls = [asked_for(client, head_of(1))]
+        await until(lambda: front.lines)
+        for n in range(2, 180):
+            heard = asked_for(client, head_of(n))
+            line = client.pools.hosts[1].lines[0]
+            line.give_up(next(reversed(line.attempts.values())), Outcome.CANCELLED)
+            calls.append(heard)
+        await until(lambda: calls[0].ends)
+        assert front.counts.calmed == 1 and not front.lines
+        await until(lambda: not gateway.gateway.held)
