Read headers of any bytes from servers and clients of the newer format

Cause: a million mutated frames found one piece of bytes in which a header was no UTF-8; decoding it raised out of the connection's reading, so that all its streams were left to the transport's own clean-up.

Change: headers are taken as Latin-1, byte for byte, on both sides, and put back the same way. A test fails without it.

--- a/sagetrack/h2/back.py
+++ b/sagetrack/h2/back.py
@@ -119,7 +119,7 @@
     def __init__(self, pool: NewPools, host: NewHost) -> None:
         self.pool, self.host = pool, host
         self.transport: asyncio.Transport | None = None
-        config = h2.config.H2Configuration(client_side=True, header_encoding="utf-8")
+        config = h2.config.H2Configuration(client_side=True, header_encoding="latin-1")
         self.h2 = h2.connection.H2Connection(config)
         self.h2.local_settings = h2.settings.Settings(
             client=True,
--- a/sagetrack/h2/front.py
+++ b/sagetrack/h2/front.py
@@ -147,7 +147,7 @@
     def __init__(self, front: NewFront) -> None:
         self.front = front
         self.transport: asyncio.Transport | None = None
-        config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+        config = h2.config.H2Configuration(client_side=False, header_encoding="latin-1")
         self.h2 = h2.connection.H2Connection(config)
         codes = h2.settings.SettingCodes
         values = {
--- a/sagetrack/h2/fuzz.py
+++ b/sagetrack/h2/fuzz.py
@@ -115,7 +115,7 @@
 
 def true_answers(request: bytes, draw: random.Random) -> bytes:
     """What a server says to these bytes of a client."""
-    config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+    config = h2.config.H2Configuration(client_side=False, header_encoding="latin-1")
     server = h2.connection.H2Connection(config)
     server.initiate_connection()
     streams = {s for e in server.receive_data(request) if (s := getattr(e, "stream_id", None))}
--- a/sagetrack/h2/translate.py
+++ b/sagetrack/h2/translate.py
@@ -131,7 +131,7 @@
     if " " in call.method or not call.method or not PLAIN.fullmatch(call.target) or b" " in call.target:
         raise TranslationError("a method or target that no request line can carry")
     kept = [(f.name, f.value) for f in call.fields]
-    carried = {name: said[key].encode() for name, key in METADATA.items() if key in said}
+    carried = {name: said[key].encode("latin-1") for name, key in METADATA.items() if key in said}
     if KEY_BIN in said:
         carried[KEY] = from_binary(said[KEY_BIN])
     lines = [b"%s %s HTTP/1.1" % (call.method.encode(), call.target)]
@@ -144,7 +144,7 @@
             raise TranslationError(f"a field {name[:40]!r} that is no header")
         lines.append(b"%s: %s" % (name, value))
     if "host" not in {f.name.lower().decode("latin-1") for f in call.fields} and ":authority" in said:
-        carried[b"Host"] = said[":authority"].encode()
+        carried[b"Host"] = said[":authority"].encode("latin-1")
     for name, value in carried.items():
         if not VALUE.fullmatch(value):
             raise TranslationError(f"{name.decode()} has control characters")
--- a/sagetrack/lab/newserver.py
+++ b/sagetrack/lab/newserver.py
@@ -49,7 +49,7 @@
     def __init__(self, on_call: Callable[[NewConnection, Asked], None], most: int = 100) -> None:
         self.on_call = on_call
         self.transport: asyncio.Transport | None = None
-        config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+        config = h2.config.H2Configuration(client_side=False, header_encoding="latin-1")
         self.h2 = h2.connection.H2Connection(config)
         self.most = most
         self.asked: dict[int, Asked] = {}
--- a/tests/test_h2.py
+++ b/tests/test_h2.py
@@ -447,6 +447,19 @@
         Keys(load_operator(str(file)).newer.ca)
 
 
+@on_loop
+async def test_a_header_that_is_no_utf_8_breaks_nothing() -> None:
+    async with rigged() as rig:
+        heard = rig.ask()
+        await rig.until_asked(1)
+        connection, asked = rig.asked[0]
+        head: Any = [(b":status", b"200"), (b"content-type", b"appl\xe9"), (b"grpc-status", b"13")]
+        connection.h2.send_headers(asked.stream, head, end_stream=True)
+        connection.flush()
+        await until(lambda: heard.ends)
+        assert heard.ends[0][0] is Outcome.ERROR and not rig.line.over
+
+
 def test_mutated_frames_of_a_fixed_seed_break_nothing() -> None:
     found = fuzz(3000, 3)
     assert not found.wrong and found.closed > 100 and found.answered > 100
