--- a/sagetrack/lab/sweep.py
+++ b/sagetrack/lab/sweep.py
@@ -98,9 +98,10 @@
         with path.open("a") as file:
             file.write("\n")  # a line that was cut short stays one of its own
     if left:
+        # Not by plain forks: a child of a process with threads may wait for a lock that it was born with.
         with (
             path.open("a") as file,
-            multiprocessing.get_context("fork").Pool(min(workers, len(left)), _quiet) as pool,
+            multiprocessing.get_context("forkserver").Pool(min(workers, len(left)), _quiet) as pool,
         ):
             for number, row in enumerate(pool.imap(play, left), 1):
                 file.write(json.dumps(row) + "\n")
