Let clients that read nothing hold back no other stream of a connection

Cause: bytes that a client had not taken stayed counted against the connection's window as well as the stream's: 65 such streams closed the window of 4 MiB, and every other call on the connection waited with them. A thousand of them could also have held 256 KiB each.

Change: the connection's window opens at once, the stream's as its client reads, and the stream's is 64 KiB.

--- a/sagetrack/h2/back.py
+++ b/sagetrack/h2/back.py
@@ -35,6 +35,8 @@
 STREAMS = 100  # of one connection, until its server's SETTINGS say otherwise; and at the most
 LINES = 4  # connections to one server
 HELD = 64 * 1024  # bytes of an answer that are held; a longer one passes through
+WINDOW = 64 * 1024  # bytes that a server may send on a stream before its client has taken some
+CONNECTION_WINDOW = 4 * 1024 * 1024
 IDLE_S = 8.0  # a connection without streams is closed after this
 AGE_S = 600.0  # an older one takes no more streams
 PING_S, PING_WAIT_S = 5.0, 3.0  # of silence with streams out; for the answer
@@ -110,7 +112,7 @@
         self.paused = False
         self.moved_us = now_us()
         if self.line is not None and self.unacked:
-            self.line.acknowledge(self, 0)
+            self.line.reopen(self)
 
 
 class Line(asyncio.Protocol):
@@ -126,7 +128,7 @@
             initial_values={
                 h2.settings.SettingCodes.ENABLE_PUSH: 0,
                 h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: 32 * 1024,
-                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 256 * 1024,
+                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: WINDOW,
             },
         )
         self.attempts: dict[int, NewAttempt] = {}
@@ -158,7 +160,7 @@
             self.fail(None)
             return
         self.h2.initiate_connection()
-        self.h2.increment_flow_control_window(4 * 1024 * 1024)
+        self.h2.increment_flow_control_window(CONNECTION_WINDOW)
         while self.early:
             attempt = self.early.popleft()
             if not attempt.ended:
@@ -359,12 +361,25 @@
             attempt.watcher.on_piece(attempt, body)
 
     def acknowledge(self, attempt: NewAttempt, size: int) -> None:
-        """Open the server's window again for what the client has taken."""
-        attempt.unacked += size
-        if attempt.paused or not attempt.unacked:
-            return
+        """Open the server's window again for what the client has taken.
+
+        Of a client that takes no more, the stream's window stays closed and the connection's does not: it is
+        not to hold back the other streams.
+        """
+        if not attempt.paused:
+            self.credit(size, attempt.stream)
+        elif size:
+            attempt.unacked += size
+            self.h2.increment_flow_control_window(size)
+        self.flush()
+
+    def reopen(self, attempt: NewAttempt) -> None:
+        """The client takes more again."""
         size, attempt.unacked = attempt.unacked, 0
-        self.credit(size, attempt.stream)
+        try:
+            self.h2.increment_flow_control_window(size, attempt.stream)
+        except h2.exceptions.H2Error:
+            return  # its last byte has come
         self.flush()
 
     def credit(self, size: int, stream: int) -> None:
@@ -414,9 +429,6 @@
             del self.attempts[attempt.stream]
         if attempt in self.early:
             self.early.remove(attempt)
-        if attempt.unacked and not self.over:
-            size, attempt.unacked = attempt.unacked, 0
-            self.credit(size, attempt.stream)
         if not self.attempts and not self.early:
             self.idle_us = now_us()
 
--- a/tests/test_h2.py
+++ b/tests/test_h2.py
@@ -168,7 +168,8 @@
 class Heard:
     """A watcher that keeps what it hears."""
 
-    def __init__(self) -> None:
+    def __init__(self, pauses: bool = False) -> None:
+        self.pauses = pauses
         self.written = 0
         self.ends: list[tuple[Outcome, Reply | None]] = []
         self.head: Reply | None = None
@@ -180,6 +181,8 @@
 
     def on_begun(self, attempt: Any, head: Any, source: Any) -> None:
         self.head, self.source = head, source
+        if self.pauses:
+            source.pause()
 
     def on_piece(self, attempt: Any, data: bytes) -> None:
         self.pieces.append(data)
@@ -196,8 +199,10 @@
         self.connections: list[NewConnection] = []
         self.asked: list[tuple[NewConnection, Asked]] = []
 
-    def ask(self, body: bytes = b"", upload: Upload | None = None, wait_us: int = 10_000_000) -> Heard:
-        heard = Heard()
+    def ask(
+        self, body: bytes = b"", upload: Upload | None = None, wait_us: int = 10_000_000, pauses: bool = False
+    ) -> Heard:
+        heard = Heard(pauses)
         call = Call("a", 0, wait_us, None, None, False, 0, Message(HEAD, body), None, upload)  # type: ignore[arg-type]
         self.pools.begin(call, 1, wait_us, heard)
         return heard
@@ -350,6 +355,24 @@
         assert sum(map(len, heard.pieces)) == size and heard.ends[0][0] is Outcome.OK and most <= 200_000
 
 
+@on_loop
+async def test_clients_that_read_nothing_do_not_hold_back_the_others_of_a_connection() -> None:
+    def take(connection: NewConnection, asked: Asked) -> None:
+        connection.answer(asked, body=b"y" * (1_000_000 if asked.body == b"long" else 10), parts=20)
+
+    async with rigged(on_call=take) as rig:
+        stuck = [rig.ask(b"long", pauses=True) for _ in range(90)]
+        await until(lambda: all(heard.source is not None for heard in stuck))
+        other = rig.ask()
+        await until(lambda: other.ends)
+        assert other.ends[0][0] is Outcome.OK and len(rig.connections) == 1
+        assert max(sum(map(len, heard.pieces)) for heard in stuck) < 200_000
+        for heard in stuck:
+            heard.source.resume()
+        await until(lambda: all(heard.ends for heard in stuck))
+        assert {sum(map(len, heard.pieces)) for heard in stuck} == {1_000_000}
+
+
 @on_loop
 async def test_a_draining_or_gone_server_gets_nothing_after_the_grace() -> None:
     async with rigged() as rig:
