Say Retry-After in whole seconds where the operator asks for it

Change: `queues.whole_seconds`, off by default; rounded up, so that nobody comes before it is due.

Measured: the test of a gateway's door reads 1 or 2 for a wait of up to 1.43 s.

--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -76,6 +76,7 @@
     flows: Annotated[int, Meta(ge=1, le=65_536)] = 256  # that a member's clients are hashed to
     patience: Annotated[float, Meta(ge=0, le=0.5)] = 0.5  # of the slack under the aim: to wait at the most
     memory_mb: Annotated[float, Meta(ge=1, le=65_536)] = 16.0
+    whole_seconds: bool = False  # of Retry-After, for clients that read no fractions
     client_header: Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]*$")] = "X-Client"  # empty: by address alone
 
 
--- a/sagetrack/config/platform.py
+++ b/sagetrack/config/platform.py
@@ -44,6 +44,7 @@
     settings: Settings
     names: Names
     client_header: bytes = b""  # names a client within its member, where fair queues are on
+    whole_seconds: bool = False  # of Retry-After
     peer_listen: Address | None = None  # for datagrams of other gateways
     peers: tuple[Address, ...] = ()  # one for each gateway, in the order of their numbers
 
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -524,7 +524,10 @@
 
     def on_refused(self, call: Call, retry_after_us: int) -> None:
         if self.call is call:
-            after = [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
+            told = b"%.3f" % (retry_after_us / 1e6)
+            if self.server.config.whole_seconds:  # not before it is due
+                told = b"%d" % -(-retry_after_us // 1_000_000)
+            after = [(b"Retry-After", told)] if retry_after_us > 0 else []
             self.answer(503, after, b"")
 
     def on_failed(self, call: Call, timed_out: bool) -> None:
--- a/sagetrack/ops/fairness.py
+++ b/sagetrack/ops/fairness.py
@@ -38,7 +38,8 @@
         ),
     )  # fmt: skip
     header = queues.client_header.lower().encode()
-    return replace(config, settings=replace(config.settings, door=door), client_header=header)
+    settings = replace(config.settings, door=door)
+    return replace(config, settings=settings, client_header=header, whole_seconds=queues.whole_seconds)
 
 
 def shares_in(config: Config, operator: Operator) -> tuple[float, ...]:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -398,10 +398,16 @@
 @on_loop
 async def test_a_gateway_tells_clients_apart_by_header_and_shows_each_member(tmp_path: Path) -> None:
     file = tmp_path / "operator.toml"
-    file.write_text("[queues]\nuse = true\n[limits]\nclient_per_s = 0.1\nclient_burst = 1\n")
-    async with running(configuration("127.0.0.1:9"), load_operator(str(file))) as gateway:
+    file.write_text(
+        "[queues]\nuse = true\nwhole_seconds = true\n[limits]\nclient_per_s = 0.7\nclient_burst = 1\n"
+    )
+    config = configuration("127.0.0.1:9", retryAfter=True, maxRetryAfterUs=4_000_000)
+    async with running(config, load_operator(str(file))) as gateway:
+        told: list[Any] = []
         for name in ("a", "a", "b"):
             headers: dict[str, Any] = {"x_client": name}
-            await gateway.ask(request(**headers))
+            answer = await gateway.ask(request(**headers))
+            told.append([value for key, value in answer.headers.items() if key.lower() == "retry-after"])
+        assert told[1] in (["1"], ["2"])  # 1 to 1.43 s, rounded up
         shown = gateway.server.stats()
         assert "svc_member_acme_asked_total 3\n" in shown and "svc_door_refused_rate_total 1\n" in shown
