--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -284,6 +284,7 @@
     build: Annotated[
         list[str] | None, typer.Option(help="another checkout to measure beside this one; may be given again")
     ] = None,
+    newer: Annotated[bool, typer.Option("--newer", help="servers of the newer format too")] = False,
     as_json: Annotated[bool, typer.Option("--json", help="one JSON array as the last line")] = False,
 ) -> None:
     """Measure what a request costs on one core, against a bare relay on the same core in the same run."""
@@ -302,7 +303,7 @@
             raise fail(f"--build {path}: no gateway there")
     try:
         with bar("throughput", as_json) as tell:
-            rows = summary(measure(sizes, seconds, rounds, builds, lambda at, of: tell(at / of)))
+            rows = summary(measure(sizes, seconds, rounds, builds, lambda at, of: tell(at / of), newer))
     except LabError as error:
         raise fail(str(error)) from None
     except KeyboardInterrupt:
@@ -317,9 +318,9 @@
         for name in rows[0]:
             table.add_column(name.replace("_", " "), justify="left" if name == "what" else "right")
         for row in rows:
-            name = Path(row["what"]).name if row["what"] != "relay" else "relay"
+            name = Path(row["what"]).name
             table.add_row(name, *(str(value) for key, value in row.items() if key != "what"))
-        Console().print(table)
+        Console(width=150).print(table)
     raise typer.Exit(1 if any(row["late"] for row in rows) else 0)
 
 
@@ -480,17 +481,19 @@
 def fuzz_h2(
     frames: Annotated[int, typer.Option(help="about how many", min=1)] = 100_000,
     seed: Annotated[int, typer.Option(help="what is spoilt follows from it", min=0)] = 1,
+    front: Annotated[bool, typer.Option("--front", help="the clients' side, not the back")] = False,
 ) -> None:
     """Feed mutated HTTP/2 frames to the back; exit 1 if any breaks it or an attempt does not end once."""
-    from sagetrack.h2.fuzz import fuzz
+    from sagetrack.h2.fuzz import fuzz, fuzz_front
 
     try:
         with bar("fuzz", False) as tell:
-            found = fuzz(frames, seed, tell)
+            found = (fuzz_front if front else fuzz)(frames, seed, tell)
     except KeyboardInterrupt:
         raise typer.Exit(INTERRUPTED) from None
     print(
-        f"{found.frames} frames: {found.answered} answers taken, {found.failed} attempts failed, "
+        f"{found.frames} frames: {found.answered} {'calls answered' if front else 'answers taken'}, "
+        f"{found.failed} {'given up by clients' if front else 'attempts failed'}, "
         f"{found.closed} connections closed, {len(found.wrong)} wrong, slowest {found.slowest_ms:.2f} ms"
     )
     for line in found.wrong[:SHOWN]:
--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -93,16 +93,23 @@
     class_burst: Annotated[float, Meta(ge=1, le=10_000_000)] = 10.0
 
 
+Part = Annotated[float, Meta(ge=0, le=1)]
+
+
 class NewerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Servers of the newer format (docs/protocol-2.md); off without types."""
 
     types: list[Annotated[str, Meta(min_length=1)]] = msgspec.field(default_factory=list)
-    share: Annotated[float, Meta(ge=0, le=1)] | None = None  # of the work; without it as weights are listed
+    share: Part | None = None  # of the work; without it as weights are listed
     tls: bool = False
     ca: str = ""  # files in PEM
     certificate: str = ""
     key: str = ""
     listen: list[Place] = msgspec.field(default_factory=list)  # for clients of the newer format
+    share_by_class: dict[str, Part] = msgspec.field(default_factory=dict)
+    share_by_member: dict[str, Part] = msgspec.field(default_factory=dict)  # goes before a class's
+    compare_per_s: Annotated[float, Meta(ge=0, le=1000)] = 0.0  # answers of safe classes; 0: none
+    compare_ignore: list[str] = msgspec.field(default_factory=list)  # headers that may differ
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -47,7 +47,7 @@
 from sagetrack.core.clock import now_us
 from sagetrack.core.calls import Entry, Roster
 from sagetrack.core.log import log
-from sagetrack.core.metrics import Metrics
+from sagetrack.core.metrics import Counter, Metrics
 
 
 Answer = Any  # of a protocol: from its back to its front
@@ -157,6 +157,7 @@
     client: Client
     upload: Upload | None = None  # the body, if it is too long to be held
     who: int = 0  # the client within its tenant, where it is known
+    only: int = -1  # a copy, to compare answers: see RequestArrived
 
 
 @dataclass(slots=True, eq=False)
@@ -174,7 +175,13 @@
     @property
     def is_current(self) -> bool:
         """Whether it was taken, which is when its last byte had come, and has not ended."""
-        return not self.closed and (self.call.upload is None or self.call.upload.ended)
+        return not self.closed and self.call.only < 0 and (self.call.upload is None or self.call.upload.ended)
+
+
+def count(counter: Counter, call: Call) -> None:
+    """Count a client's call; a copy of one is nobody's."""
+    if call.only < 0:
+        counter.add(call.klass)
 
 
 class Gateway:
@@ -261,7 +268,7 @@
         self.held[call.id] = Held(call, now_us() + call.patience_us)
         event = RequestArrived(
             call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant,
-            call.upload is not None, call.who,
+            call.upload is not None, call.who, call.only,
         )  # fmt: skip
         self.post(lambda: event)
         return True
@@ -306,12 +313,12 @@
             case Refuse():
                 held = self.owed(action.request)
                 if held is not None:
-                    self.metrics.deferred.add(held.call.klass)
+                    count(self.metrics.deferred, held.call)
                     held.call.client.on_refused(held.call, action.retry_after_us)
             case Fail():
                 held = self.owed(action.request)
                 if held is not None:
-                    self.metrics.errored.add(held.call.klass)
+                    count(self.metrics.errored, held.call)
                     held.call.client.on_failed(held.call, held.timed_out)
             case Cancel():
                 self.cancel(action)
@@ -401,14 +408,14 @@
         if not held.closed and held.stream is attempt:
             self.finish(id_, held)
             if outcome is Outcome.OK and answer is not None:
-                self.metrics.answered.add(held.call.klass)
+                count(self.metrics.answered, held.call)
                 held.call.client.on_ended(held.call, answer)
             else:
-                self.metrics.errored.add(held.call.klass)
+                count(self.metrics.errored, held.call)
                 held.call.client.on_broken(held.call)
         elif not held.closed and outcome is Outcome.OK and answer is not None:
             self.finish(id_, held)
-            self.metrics.answered.add(held.call.klass)
+            count(self.metrics.answered, held.call)
             held.call.client.on_served(held.call, answer)
         elif held.closed and held.out == 0:
             self.held.pop(id_, None)
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -18,7 +18,8 @@
 from sagetrack.decide.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Demands, Effect, Event, Fail, Fellows, Learned,
     ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList,
-    ServerStatus, SetTimer, Settings, Shares, Sharing, StreamStarted, TimerFired, WatchList,
+    ServerStatus, SetTimer, Settings, Shares, Sharing, StreamStarted, TimerFired, Turns,
+    WatchList,
 )
 from sagetrack.decide.knowledge import (
     CLOSED, HALF_OPEN, MOST_OPEN, OLDEST_US, OPEN, Latency, Sight, advise, join,
@@ -241,6 +242,8 @@
     client: int = 0
     promised: bool = False  # it was told to come about now
     told_us: int = -1  # the door's own word on when to come back
+    tenant: int = 0
+    only: int = -1  # a copy, for servers of the newer format (1) or of the older one (0) alone
     rests_until_us: int = 0  # in order: its key rests, as an attempt may still be running
 
 
@@ -270,6 +273,7 @@
         self.timers: dict[int, Request] = {}
         self.lines: dict[int, deque[Request]] = {}  # in order: requests of a key, its turn first
         self.waiting: dict[Request, None] = {}  # for room at a server, the first come first
+        self.turns = Turns({}, {})
         self.door = Door[Request](settings.door, self.shares_of()) if settings.door is not None else None
         self.next_token = 1
         self.retry_tokens = RETRY_BURST
@@ -320,6 +324,8 @@
             self.door.set_shares(event.shares)
         elif isinstance(event, Demands) and self.door is not None:
             self.door.hear(event.proxy, list(event.demands), self.now_us, self.sharers)
+        elif isinstance(event, Turns):
+            self.turns = event
         elif isinstance(event, Fellows):
             self.sharers = sharers(event.alive, self.settings.proxies)
         return self.actions
@@ -336,7 +342,12 @@
             return
         request = self.admit(event)
         self.requests[request.id] = request
-        if self.door is not None and not self.settings.classes[request.klass].in_order:
+        if request.only >= 0:
+            # A copy yields to everything else: nobody waits for it, and it waits for nothing.
+            pressed = self.shed > 0.0 or self.shed_dear > 0.0 or self.waiting or self.something_waits()
+            if pressed or not self.try_send(request):
+                self.answer_unserved(request)
+        elif self.door is not None and not self.settings.classes[request.klass].in_order:
             self.come_in(self.door, request, event.is_retry)
         elif self.is_shed(request) or not (
             self.waits_its_turn(request) or self.try_send(request) or self.waits_for_room(request)
@@ -361,12 +372,16 @@
         return Request(
             event.request, event.klass, event.key, self.now_us + event.patience_us,
             self.now_us + max(0, klass.aim_us - used_us), size, first_try, self.excess(event.tenant),
-            uploading=event.uploading, once=event.uploading, client=event.client,
-            member=self.door.member(event.tenant) if self.door is not None else 0,
+            uploading=event.uploading, once=event.uploading or event.only >= 0, client=event.client,
+            member=self.door.member(event.tenant) if self.door is not None else 0, tenant=event.tenant,
+            only=event.only, told_us=-1 if event.only < 0 else 0,
         )
 
     # At the door, where it is switched on: fair queues, limits and promises
 
+    def something_waits(self) -> bool:
+        return self.door is not None and len(self.door.queues) > 0
+
     def shares_of(self) -> list[float]:
         return [tenant.share for tenant in self.settings.tenants] or [1.0]
 
@@ -597,7 +612,7 @@
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
             self.actions.append(Refuse(request.id, self.retry_after_us(request)))
-            if self.door is not None:
+            if self.door is not None and request.only < 0:
                 self.door.rows[request.member].refused += 1
         else:
             self.actions.append(Fail(request.id))
@@ -763,7 +778,7 @@
             answered_us = request.answered_us or self.now_us
             if event.outcome is Outcome.OK and request.first_try and answered_us <= request.aim_us:
                 self.served[request.klass] += 1
-            if self.door is not None and event.outcome is Outcome.OK:
+            if self.door is not None and event.outcome is Outcome.OK and request.only < 0:
                 self.door.rows[request.member].served += 1
             self.finish(request)
         elif request.out == 0:
@@ -831,7 +846,10 @@
 
     def pick(self, request: Request) -> Server | None:
         """Weighted random choice among the servers that may take this request now."""
-        candidates = self.allowed_servers(request) if request.attempts else self.subset(request.klass)
+        if request.only >= 0:
+            candidates = [s for s in self.ranked if self.is_eligible(s, request.klass)]
+        else:
+            candidates = self.allowed_servers(request) if request.attempts else self.subset(request.klass)
         weights: list[tuple[float, Server]] = []
         total = 0.0
         for server in candidates:
@@ -839,6 +857,9 @@
             if weight > 0.0:
                 weights.append((weight, server))
                 total += weight
+        if self.settings.newer_kinds:
+            weights = self.by_format(request, weights)
+            total = sum(weight for weight, _ in weights)
         if not weights:
             return None
         if self.settings.warm_keys and request.key is not None:
@@ -850,6 +871,16 @@
                 return server
         return weights[-1][1]
 
+    def by_format(self, request: Request, weights: list[tuple[float, Server]]) -> list[tuple[float, Server]]:
+        """Weights turned for the share of the newer format that the request's member or class has."""
+        newer = self.settings.newer_kinds
+        if request.only >= 0:
+            return [(weight, s) for weight, s in weights if (s.entry.kind in newer) == bool(request.only)]
+        turn = self.turns.tenants.get(request.tenant) or self.turns.classes.get(request.klass)
+        if turn is None:
+            return weights
+        return [(weight * turn[s.entry.kind in newer], s) for weight, s in weights]
+
     def favour_home(self, key: int, weights: list[tuple[float, Server]]) -> float:
         """Raise the weight of the key's home among the candidates; returns by how much."""
         ranks = [rendezvous(key, s.entry.server, s.near) for _, s in weights]
--- a/sagetrack/decide/interface.py
+++ b/sagetrack/decide/interface.py
@@ -153,6 +153,7 @@
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0  # worth of a request beyond its tenant's share, as a fraction
     marks_retry: bool = False  # clients say of a repeat that it is one
+    newer_kinds: frozenset[int] = frozenset()  # of servers: those that speak the newer format
     max_attempts: int = 3
     may_cancel: bool = True
     second_copies: bool = False  # two attempts of one request may be out together
@@ -225,6 +226,7 @@
     tenant: int = 0  # its place in the settings
     uploading: bool = False  # its body still comes, and can go to one server only: see AttemptWritten
     client: int = 0  # who asks within the tenant; 0 where nobody knows, below it what several may share
+    only: int = -1  # a copy, to compare answers: 1 for servers of the newer format alone, 0 for the others
 
 
 @dataclass(slots=True, frozen=True)
@@ -316,6 +318,17 @@
     alive: int
 
 
+@dataclass(slots=True, frozen=True)
+class Turns:
+    """Members and classes whose share of the newer format is their own; a member's goes before a class's.
+
+    By number: what the weights of older servers and of newer ones are multiplied by in their draws.
+    """
+
+    classes: Mapping[int, tuple[float, float]]
+    tenants: Mapping[int, tuple[float, float]]
+
+
 @dataclass(slots=True, frozen=True)
 class Shares:
     """The tenants' shares are these from now on, in the order of the settings."""
@@ -334,6 +347,7 @@
 Event = (
     Learned
     | Shares
+    | Turns
     | Demands
     | Fellows
     | ServerList
--- a/sagetrack/decide/moving.py
+++ b/sagetrack/decide/moving.py
@@ -51,6 +51,8 @@
     """The state of one move."""
 
     share: float | None = None  # of the work that the newer servers shall have; None: as weights are listed
+    classes: dict[int, float] = field(default_factory=dict)  # by class: shares that differ from it
+    members: dict[int, float] = field(default_factory=dict)  # by member, and these go before
     old: Tally = field(default_factory=Tally)
     new: Tally = field(default_factory=Tally)
     held_until_us: int = 0
@@ -89,12 +91,32 @@
         With servers of one format alone nothing is changed: a call is better served by a doubtful format
         than not at all.
         """
+        return self.factors_for(self.share, self.part(now_us), old_weight, new_weight)
+
+    def factors_for(
+        self, share: float | None, part: float, old_weight: float, new_weight: float
+    ) -> tuple[float, float]:
         if old_weight <= 0 or new_weight <= 0:
             return 1.0, 1.0
-        part = self.part(now_us)
-        if self.share is None:
+        if share is None:
             return 1.0, max(TRICKLE, part)
-        share = self.share * part
+        share *= part
         if share >= 1.0:
             return TRICKLE, 1.0
         return 1.0, max(TRICKLE, share / (1.0 - share) * old_weight / new_weight)
+
+    def turns(
+        self, now_us: int, old_weight: float, new_weight: float
+    ) -> tuple[dict[int, tuple[float, float]], dict[int, tuple[float, float]]]:
+        """By class and by member: what weights that `factors` has turned are multiplied by once more."""
+        part = self.part(now_us)
+        old, new = self.factors_for(self.share, part, old_weight, new_weight)
+
+        def turned(shares: dict[int, float]) -> dict[int, tuple[float, float]]:
+            found = {}
+            for number, share in shares.items():
+                its_old, its_new = self.factors_for(share, part, old_weight, new_weight)
+                found[number] = its_old / old, its_new / new
+            return found
+
+        return turned(self.classes), turned(self.members)
--- a/sagetrack/h2/front.py
+++ b/sagetrack/h2/front.py
@@ -17,6 +17,7 @@
 import h2.settings
 
 from sagetrack.config.platform import Address
+from sagetrack.core.bodies import LARGE_LIMIT, Allowance, Upload
 from sagetrack.core.calls import Header, Reply
 from sagetrack.core.clock import now_us
 from sagetrack.core.gateway import Call, Client, Gateway, Source
@@ -28,7 +29,7 @@
 
 STREAMS = 100  # of one connection at once
 CONNECTIONS = 256
-BODY_LIMIT = 64 * 1024  # of a call; it is held whole, so that it can be sent again
+BODY_LIMIT = 64 * 1024  # of a call that is held, to be sent again if need be; a longer one passes through
 HIGH = 128 * 1024  # bytes of an answer that wait for a client before its server is paused
 RESETS = 100  # streams a second that a client may begin and cancel (rapid reset, CVE-2023-44487)
 UNASKED = 1000  # frames a second that carry no call
@@ -36,8 +37,9 @@
 SWEEP_S = 0.5
 CONTENT = "application/grpc+proto"
 
-Read = Callable[[str, bytes, list[Header], bytes, int, Client], Call]
-"""A call from method, target, headers, body and budget (us; 0: the class's own); ReadError if it is none."""
+Read = Callable[[str, bytes, list[Header], bytes, int, Client, Upload | None], Call]
+"""A call from method, target, headers, body and budget (us; 0: the class's own), or with a body that still
+comes; ReadError if it is none."""
 
 
 class ReadError(ValueError):
@@ -68,6 +70,9 @@
     headers: list[tuple[str, str]]
     unpacker: Unpacker = field(default_factory=lambda: Unpacker(BODY_LIMIT + 32 * 1024))
     messages: list[bytes] = field(default_factory=list)
+    held: int = 0  # bytes of them
+    upload: Upload | None = None  # the body, once it is too long to be held
+    shut: int = 0  # bytes that its window has not been opened for, while the body has no room
     call: Call | None = None
     out: bytearray = field(default_factory=bytearray)
     trailers: list[tuple[str, str]] | None = None
@@ -124,6 +129,8 @@
     def end(self, trailers: list[tuple[str, str]]) -> None:
         """The one end of the call."""
         self.call = None
+        if self.upload is not None:
+            self.upload.fail()  # the rest, if there is any, is nobody's
         if self.trailers is None:
             self.trailers = trailers
             self.connection.push(self)
@@ -137,6 +144,8 @@
         """The client has gone, or wants it no more."""
         self.over = True
         call, self.call = self.call, None
+        if self.upload is not None:
+            self.upload.fail()
         if call is not None:
             self.front.gateway.leave(call.id)
 
@@ -214,13 +223,12 @@
                 if not event.data:
                     self.count(unasked=1)
                 size = event.flow_controlled_length or 0
-                with suppress(h2.exceptions.H2Error):
-                    self.h2.acknowledge_received_data(size, number)
                 if stream is not None and stream.trailers is None:
                     self.take(stream, event.data or b"")
+                self.acknowledge(stream, number, size)
             case h2.events.StreamEnded():
                 if stream is not None and stream.trailers is None:
-                    self.front.ask(stream)
+                    self.front.whole(stream)
             case h2.events.StreamReset():
                 if stream is not None:
                     del self.streams[number]
@@ -237,13 +245,39 @@
                 pass
 
     def take(self, stream: Stream, data: bytes) -> None:
+        stream.moved_us = now_us()
         try:
-            stream.messages += stream.unpacker.feed(data)
+            for message in stream.unpacker.feed(data):
+                if stream.upload is not None:
+                    self.front.feed(stream, message)
+                else:
+                    stream.messages.append(message)
+                    stream.held += len(message)
         except MessageError as error:
             stream.refuse(Status.RESOURCE_EXHAUSTED, str(error))
             return
-        if sum(map(len, stream.messages)) > BODY_LIMIT + 32 * 1024:
-            stream.refuse(Status.RESOURCE_EXHAUSTED, f"a call over {BODY_LIMIT} bytes")
+        if stream.upload is None and stream.held > self.front.most_held:
+            self.front.hand_over(stream)
+
+    def acknowledge(self, stream: Stream | None, number: int, size: int) -> None:
+        """Open the windows for what has come; a stream's own stays shut while its body has no room.
+
+        The connection's is opened at once, so that a body that waits for its server holds up nothing else.
+        """
+        with suppress(h2.exceptions.H2Error):
+            if stream is None or stream.upload is None or not stream.upload.is_full:
+                self.h2.acknowledge_received_data(size, number)
+            elif size:
+                stream.shut += size
+                self.h2.increment_flow_control_window(size)
+
+    def open(self, stream: Stream) -> None:
+        """The body has room again."""
+        size, stream.shut = stream.shut, 0
+        if size and not stream.over and not self.over:
+            with suppress(h2.exceptions.H2Error):
+                self.h2.increment_flow_control_window(size, stream.id)
+            self.flush()
 
     def count(self, resets: int = 0, unasked: int = 0) -> None:
         """Guards against clients that make us work without asking for anything."""
@@ -342,7 +376,8 @@
             self.leave()
         for stream in list(self.streams.values()):
             # A client that reads nothing of an answer, or never ends its call, does not hold its place.
-            waits = stream.out or stream.call is None
+            sends = stream.upload is not None and not stream.upload.is_over and not stream.upload.is_full
+            waits = stream.out or stream.call is None or sends
             if waits and now - stream.moved_us > STUCK_S * 1e6:
                 with suppress(h2.exceptions.H2Error):
                     self.h2.reset_stream(stream.id, h2.errors.ErrorCodes.CANCEL)
@@ -354,8 +389,11 @@
 class NewFront:
     """All clients of the newer format."""
 
-    def __init__(self, gateway: Gateway, read: Read, stands_by: Callable[[], bool]) -> None:
-        self.gateway, self.read, self.stands_by = gateway, read, stands_by
+    def __init__(
+        self, gateway: Gateway, read: Read, stands_by: Callable[[], bool], allowance: Allowance
+    ) -> None:
+        self.gateway, self.read, self.stands_by, self.allowance = gateway, read, stands_by, allowance
+        self.most_held = BODY_LIMIT
         self.counts = FrontCounts()
         self.lines: set[ClientLine] = set()
         self.servers: list[asyncio.Server] = []
@@ -378,29 +416,74 @@
     def leaving(self) -> bool:
         return self.gone or self.stands_by()
 
-    def ask(self, stream: Stream) -> None:
-        """A call has come whole."""
+    def whole(self, stream: Stream) -> None:
+        """A call has come to its end."""
+        upload = stream.upload
+        if upload is None:
+            self.ask(stream)
+        elif stream.unpacker.rest or (upload.length is not None and upload.length != upload.received):
+            # Its server must not take it for whole.
+            self.stop(stream, Status.INVALID_ARGUMENT, f"a body that ends after {upload.received} bytes")
+        else:
+            upload.end()
+
+    def feed(self, stream: Stream, message: bytes) -> None:
+        """A further piece of a body that passes through."""
+        upload = stream.upload
+        assert upload is not None
+        if upload.discarding:
+            return
+        try:
+            upload.feed(old_body(message))
+        except TranslationError as error:
+            self.stop(stream, Status.INVALID_ARGUMENT, str(error))
+            return
+        if upload.received > (LARGE_LIMIT if upload.length is None else upload.length):
+            most = LARGE_LIMIT if upload.length is None else upload.length
+            self.stop(stream, Status.RESOURCE_EXHAUSTED, f"a body of over {most} bytes")
+
+    def stop(self, stream: Stream, status: int, why: str) -> None:
+        """Give up a call whose body is not what it was to be."""
+        call = stream.call
+        stream.refuse(status, why)
+        if call is not None:
+            self.gateway.leave(call.id)
+
+    def hand_over(self, stream: Stream) -> None:
+        """Its body is too long to be held: the call goes on before it is whole."""
+        self.ask(stream, passes=True)
+
+    def ask(self, stream: Stream, passes: bool = False) -> None:
+        """A call has come whole, or as much of it as is held."""
         self.counts.calls += 1
         said = dict(stream.headers)
         if not said.get("content-type", "").startswith("application/grpc"):
             stream.refuse(Status.INVALID_ARGUMENT, "content-type is not application/grpc+proto")
             return
-        if not stream.messages or stream.unpacker.rest:
+        if not stream.messages or (stream.unpacker.rest and not passes):
             stream.refuse(Status.INVALID_ARGUMENT, "no whole message")
             return
         try:
             head, body, length, budget_us = from_new(stream.headers, stream.messages[0])
             body += b"".join(old_body(message) for message in stream.messages[1:])
-            if length is not None and length != len(body):
+            if length is not None and (len(body) > length or (len(body) < length and not passes)):
                 raise TranslationError(f"a body of {len(body)} bytes that was to have {length}")
+            if length is not None and length > LARGE_LIMIT:
+                raise TranslationError(f"a body of {length} bytes, over {LARGE_LIMIT}")
             method, target, headers = split_head(head)
-            call = self.read(method, target, headers, body, budget_us, stream)
+            if passes:
+                stream.upload = Upload(length, self.allowance)
+                stream.upload.on_room = lambda: stream.connection.open(stream)
+                stream.upload.feed(body)
+                body = b""
+            call = self.read(method, target, headers, body, budget_us, stream, stream.upload)
         except TranslationError as error:
             stream.refuse(Status.INVALID_ARGUMENT, str(error))
             return
         except ReadError as error:
             stream.refuse(error.status, str(error))
             return
+        stream.messages.clear()
         stream.call = call
         stream.moved_us = now_us()
         if not self.gateway.arrive(call):
--- a/sagetrack/h2/fuzz.py
+++ b/sagetrack/h2/fuzz.py
@@ -1,7 +1,7 @@
-"""Mutated HTTP/2 frames against the back: whatever a server says, every attempt ends once and nothing hangs.
+"""Mutated HTTP/2 frames against back and front: every attempt and every call ends once, and nothing hangs.
 
-True answers are made by the server's side of the protocol, then spoilt: bytes changed, cut, doubled, frames
-of every type with any flags between them.
+True answers, or true calls, are made by the protocol's other side, then spoilt: bytes changed, cut, doubled,
+frames of every type with any flags between them.
 """
 
 from __future__ import annotations
@@ -16,11 +16,16 @@
 import h2.config
 import h2.connection
 
-from sagetrack.core.gateway import Call
+from sagetrack.core.bodies import Allowance, Upload
+from sagetrack.core.calls import Header, Reply
+from sagetrack.core.gateway import Call, Client
 from sagetrack.decide.interface import Outcome, RequestClass, Settings
 from sagetrack.h2.back import Line, NewHost, NewPools
 from sagetrack.h2.calls_pb2 import Answer
+from sagetrack.h2.front import ClientLine, NewFront, ReadError
 from sagetrack.h2.messages import pack
+from sagetrack.h2.outcomes import Status
+from sagetrack.h2.translate import more, to_new
 
 STREAMS = 4
 SLOW_S = 0.25  # for one piece of bytes: a hang
@@ -130,6 +135,21 @@
     return server.data_to_send()
 
 
+def fed(line: Line | ClientLine, part: bytes, data: bytes, found: Found) -> bool:
+    """Whether a connection bears a part of these bytes, and in time."""
+    began = time.perf_counter()
+    try:
+        line.data_received(part)
+    except Exception as fault:
+        found.wrong.append(f"{fault!r}: {data.hex()}")
+        return False
+    took = time.perf_counter() - began
+    found.slowest_ms = max(found.slowest_ms, took * 1000)
+    if took > SLOW_S:
+        found.wrong.append(f"took {took:.2f} s: {data.hex()}")
+    return True
+
+
 def fuzz(frames: int, seed: int, progress: Callable[[float], None] = lambda share: None) -> Found:
     """About so many frames, on connections of four streams each."""
     return asyncio.run(_fuzz(frames, seed, progress))
@@ -157,16 +177,8 @@
         at = 0
         while at < len(data):
             size = draw.randint(1, len(data))
-            began = time.perf_counter()
-            try:
-                line.data_received(data[at : at + size])
-            except Exception as fault:
-                found.wrong.append(f"{fault!r}: {data.hex()}")
+            if not fed(line, data[at : at + size], data, found):
                 break
-            took = time.perf_counter() - began
-            found.slowest_ms = max(found.slowest_ms, took * 1000)
-            if took > SLOW_S:
-                found.wrong.append(f"took {took:.2f} s: {data.hex()}")
             at += size
         found.closed += transport.closed
         line.connection_lost(None)
@@ -182,3 +194,126 @@
                 found.wrong.append(f"an answer without one: {data.hex()}")
         progress(found.frames / frames)
     return found
+
+
+class _Taker:
+    """A gateway that answers in any of its ways, at once or when asked to, and knows what it owes."""
+
+    def __init__(self, draw: random.Random) -> None:
+        self.draw = draw
+        self.owed: dict[str, Call] = {}
+        self.ended = 0
+        self.left = 0
+
+    def arrive(self, call: Call) -> bool:
+        if call.id in self.owed:
+            return False
+        self.owed[call.id] = call
+        if call.upload is not None:
+            call.upload.on_data = lambda: self.drain(call)
+            self.drain(call)
+        if self.draw.random() < 0.5:
+            self.end(call)
+        return True
+
+    def drain(self, call: Call) -> None:
+        while call.upload is not None and call.upload.pieces:
+            call.upload.take()
+
+    def leave(self, id_: str) -> None:
+        self.left += self.owed.pop(id_, None) is not None
+
+    def end(self, call: Call) -> None:
+        if self.owed.pop(call.id, None) is None:
+            return
+        self.ended += 1
+        match self.draw.randrange(4):
+            case 0:
+                call.client.on_refused(call, self.draw.randrange(2_000_000))
+            case 1:
+                call.client.on_failed(call, self.draw.random() < 0.5)
+            case 2:
+                call.client.on_begun(call, Reply(200, [(b"X-A", b"b")], b"", True, 3000), self)
+                call.client.on_piece(call, bytes(3000))
+                call.client.on_ended(call, Reply(200, [], b"", True))
+            case _:
+                call.client.on_served(call, Reply(200, [(b"X-A", b"b")], b"true", True))
+
+    def pause(self) -> None:
+        """As the source of an answer; it has no more."""
+
+    def resume(self) -> None:
+        """As above."""
+
+
+def _read(
+    method: str, target: bytes, headers: list[Header], body: bytes, budget_us: int, client: Client,
+    upload: Upload | None,
+) -> Call:  # fmt: skip
+    ids = [value for name, value in headers if name.lower() == b"x-call-id"]
+    if not ids:
+        raise ReadError(Status.INVALID_ARGUMENT, "no X-Call-Id")
+    message = Message(b"", body)
+    return Call(ids[0].decode("latin-1"), 0, 3_000_000, None, None, False, 0, message, client, upload)
+
+
+def true_calls(draw: random.Random) -> bytes:
+    """What a client asks on one connection, short bodies and long ones, some given up."""
+    config = h2.config.H2Configuration(client_side=True, header_encoding="latin-1")
+    client = h2.connection.H2Connection(config)
+    client.initiate_connection()
+    for number in range(STREAMS):
+        stream = client.get_next_available_stream_id()
+        size = draw.choice((0, 5, 900, 4000))
+        length = size if draw.random() < 0.7 else None
+        head = b"POST /hold/%d HTTP/1.1\r\nX-Call-Id: c%d\r\nX-Call-Class: hold\r\n" % (number, number)
+        headers, first = to_new(head, b"", length, 3_000_000, "a")
+        client.send_headers(stream, headers)
+        client.send_data(stream, pack(first))
+        for at in range(0, size, 300):
+            client.send_data(stream, pack(more(bytes(min(300, size - at)))))
+        if draw.random() < 0.2:
+            client.reset_stream(stream)
+        else:
+            client.end_stream(stream)
+    return client.data_to_send()
+
+
+def fuzz_front(frames: int, seed: int, progress: Callable[[float], None] = lambda share: None) -> Found:
+    """About so many frames of clients, on connections of four calls each."""
+    return asyncio.run(_fuzz_front(frames, seed, progress))
+
+
+async def _fuzz_front(frames: int, seed: int, progress: Callable[[float], None]) -> Found:
+    found, draw = Found(), random.Random(seed)
+    while found.frames < frames:
+        taker: Any = _Taker(draw)
+        front = NewFront(taker, _read, lambda: False, Allowance(64))
+        front.most_held = 500  # so that bodies pass through too
+        line = ClientLine(front)
+        transport: Any = _Transport()
+        transport.abort = transport.close
+        line.connection_made(transport)
+        data = spoilt(true_calls(draw), draw)
+        found.frames += max(1, len(data) // 250)
+        at = 0
+        while at < len(data):
+            size = draw.randint(1, len(data))
+            if not fed(line, data[at : at + size], data, found):
+                break
+            at += size
+            for call in list(taker.owed.values()):
+                if draw.random() < 0.5:
+                    taker.end(call)
+        found.closed += transport.closed
+        line.connection_lost(None)
+        found.answered += taker.ended
+        found.failed += taker.left
+        if taker.owed:
+            found.wrong.append(f"{len(taker.owed)} calls left in work: {data.hex()}")
+        if front.allowance.active:
+            found.wrong.append(f"{front.allowance.active} bodies never ended: {data.hex()}")
+        if front.lines:
+            found.wrong.append(f"a connection that is over is kept: {data.hex()}")
+        progress(found.frames / frames)
+    return found
--- a/sagetrack/h2/mixed.py
+++ b/sagetrack/h2/mixed.py
@@ -14,21 +14,24 @@
 from sagetrack.h2.back import NewAttempt, NewPools
 
 
+Turned = dict[int, tuple[float, float]]
 FAILED = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED})
 
 
 class Counting:
     """Hears of an attempt before its watcher does, and counts how each format fares."""
 
-    __slots__ = ("mixed", "newer", "watcher")
+    __slots__ = ("call", "mixed", "newer", "streams", "watcher")
 
-    def __init__(self, watcher: Watcher, mixed: Mixed, newer: bool) -> None:
-        self.watcher, self.mixed, self.newer = watcher, mixed, newer
+    def __init__(self, watcher: Watcher, mixed: Mixed, newer: bool, call: Call) -> None:
+        self.watcher, self.mixed, self.newer, self.call = watcher, mixed, newer, call
+        self.streams = False
 
     def on_written(self) -> None:
         self.watcher.on_written()
 
     def on_begun(self, attempt: Attempt, head: Answer, source: Source) -> None:
+        self.streams = True
         self.watcher.on_begun(attempt, head, source)
 
     def on_piece(self, attempt: Attempt, data: bytes) -> None:
@@ -41,6 +44,8 @@
         if told and self.mixed.move.record(self.newer, outcome is not Outcome.OK, now_us()):
             self.mixed.on_move()
         self.watcher.on_end(attempt, outcome, answer, load)
+        if outcome is Outcome.OK and not self.streams and self.mixed.on_answer is not None:
+            self.mixed.on_answer(self.call, self.newer, answer)  # the client has its own by now
 
 
 class Mixed:
@@ -53,6 +58,9 @@
         self.move, self.on_move = move, on_move
         self.entries: dict[int, Entry] = {}  # as they are listed
         self.factors = (1.0, 1.0)
+        self.turns: tuple[Turned, Turned] = {}, {}  # by class and by member
+        self.on_turns: Callable[[Turned, Turned], None] | None = None
+        self.on_answer: Callable[[Call, bool, Any], None] | None = None  # a whole one, of the newer format?
         self.numbers: dict[int, None] = {}  # of all servers: asked for at each sending
 
     def weighed(self, entries: list[Entry]) -> list[Entry]:
@@ -75,7 +83,13 @@
         for entry in self.entries.values():
             if entry.listed.status is ServerStatus.READY:
                 sums[entry.listed.kind in self.kinds] += entry.listed.weight
-        factors = self.move.factors(now_us(), *sums)
+        now = now_us()
+        turns = self.move.turns(now, *sums)
+        if turns != self.turns:
+            self.turns = turns
+            if self.on_turns is not None:
+                self.on_turns(*turns)
+        factors = self.move.factors(now, *sums)
         if factors == self.factors:
             return []
         self.factors = factors
@@ -111,7 +125,7 @@
     def begin(self, call: Call, server: int, wait_us: int, watcher: Watcher) -> Any:
         newer = self.speaks_new(server)
         back: Any = self.new if newer else self.old
-        return back.begin(call, server, wait_us, Counting(watcher, self, newer))
+        return back.begin(call, server, wait_us, Counting(watcher, self, newer, call))
 
     def cancel(self, attempt: Any) -> None:
         (self.new if isinstance(attempt, NewAttempt) else self.old).cancel(attempt)
--- a/sagetrack/lab/throughput.py
+++ b/sagetrack/lab/throughput.py
@@ -84,6 +84,26 @@
     uvloop.run(main())
 
 
+def _serve_newer(count: int, core: int, pipe: Any) -> None:
+    """The same of the newer format."""
+    from sagetrack.lab.newserver import NewConnection
+
+    os.sched_setaffinity(0, {core})
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        ports = []
+        for _ in range(count):
+            server = await loop.create_server(
+                lambda: NewConnection(lambda connection, asked: connection.answer(asked)), "127.0.0.1", 0
+            )
+            ports.append(server.sockets[0].getsockname()[1])
+        pipe.send(ports)
+        await asyncio.Event().wait()
+
+    uvloop.run(main())
+
+
 class _Side(asyncio.Protocol):
     """One side of a relayed connection."""
 
@@ -248,7 +268,9 @@
     raise LabError("the measured process does not listen")
 
 
-def configuration(port: int, ports: list[int], discovery: int, admin: int) -> dict[str, Any]:
+def configuration(
+    port: int, ports: list[int], discovery: int, admin: int, type_: str = "plain"
+) -> dict[str, Any]:
     kind = RequestKind(name="lookup", work_ms=1, aim_ms=1000, deadline_ms=3000)
     scenario = Scenario(
         name="throughput", fleet=Fleet(servers=len(ports), gateways=1), classes=[kind], clients=Clients()
@@ -260,7 +282,7 @@
         "known": {
             "index": 1, "snapshot": True,
             "endpoints": [
-                {"name": f"s-{n}", "address": f"127.0.0.1:{p}", "zone": "a", "type": "plain", "group": n // 4,
+                {"name": f"s-{n}", "address": f"127.0.0.1:{p}", "zone": "a", "type": type_, "group": n // 4,
                  "status": "SERVING", "weight": 1.0, "since_ms": 0}
                 for n, p in enumerate(ports)
             ],
@@ -270,8 +292,9 @@
 
 
 def _round(
-    what: str, build: Path | None, servers: int, ports: list[int], discovery: int, core: int, seconds: float
-) -> Result:
+    what: str, build: Path | None, servers: int, ports: list[int], discovery: int, core: int, seconds: float,
+    newer: bool = False,
+) -> Result:  # fmt: skip
     port = free_port()
     with tempfile.TemporaryDirectory(prefix="sagetrack-lab-") as folder:
         if build is None:
@@ -283,9 +306,14 @@
             process = subprocess.Popen(command, cwd=ROOT, env=os.environ | {"PYTHONPATH": str(ROOT)})
         else:
             file = Path(folder) / "config.json"
-            file.write_text(json.dumps(configuration(port, ports, discovery, free_port())))
+            type_ = "newer" if newer else "plain"
+            file.write_text(json.dumps(configuration(port, ports, discovery, free_port(), type_)))
+            operator = Path(folder) / "operator.toml"
+            operator.write_text('[newer]\ntypes = ["newer"]\n')
             module = "sagetrack" if (build / "sagetrack").is_dir() else "cloverkeel"
             environment = os.environ | {"LB_CONFIG": str(file), "PYTHONPATH": str(build), "TMPDIR": folder}
+            if newer:
+                environment["LB_OPERATOR"] = str(operator)
             process = subprocess.Popen(
                 [sys.executable, "-m", module], cwd=build, env=environment,
                 stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
@@ -322,24 +350,37 @@
 
 
 def measure(
-    sizes: list[int], seconds: float, rounds: int, builds: list[Path], progress: Callable[[int, int], None]
-) -> list[Result]:
-    """Rounds of the relay and of each build by turns, for each number of servers. LabError if one fails."""
+    sizes: list[int], seconds: float, rounds: int, builds: list[Path], progress: Callable[[int, int], None],
+    newer: bool = False,
+) -> list[Result]:  # fmt: skip
+    """Rounds of the relay and of each build by turns, for each number of servers. LabError if one fails.
+
+    `newer`: this build also before as many servers of the newer format, which have a core of their own.
+    """
     cores = sorted(os.sched_getaffinity(0))
     if len(cores) < 3:
         raise LabError(f"{len(cores)} cores are too few: the gateway, the servers and the load need one each")
     need_files(2000 + max(sizes) * 4)
     results: list[Result] = []
-    total, at = len(sizes) * rounds * (1 + len(builds)), 0
+    if newer and len(cores) < 4:
+        raise LabError(f"{len(cores)} cores are too few: servers of the newer format need one too")
+    total, at = len(sizes) * rounds * (1 + len(builds) + newer), 0
     mine = os.sched_getaffinity(0)
     context = multiprocessing.get_context("fork")
     for size in sizes:
         here, there = context.Pipe()
         servers = context.Process(target=_serve, args=(size, cores[1], there), daemon=True)
         servers.start()
+        others = None
+        if newer:
+            others = context.Process(target=_serve_newer, args=(size, cores[3], there), daemon=True)
         os.sched_setaffinity(0, {cores[2]})
         try:
             ports, discovery = here.recv()
+            new_ports = []
+            if others is not None:
+                others.start()
+                new_ports = here.recv()
             for turn in range(rounds):
                 order = [None, *builds] if turn % 2 == 0 else [*reversed(builds), None]
                 for build in order:
@@ -347,11 +388,18 @@
                     results.append(_round(what, build, size, ports, discovery, cores[0], seconds))
                     at += 1
                     progress(at, total)
+                    if newer and build == builds[0]:
+                        what = f"{what}, newer format"
+                        found = _round(what, build, size, new_ports, discovery, cores[0], seconds, True)
+                        results.append(found)
+                        at += 1
+                        progress(at, total)
         finally:
             os.sched_setaffinity(0, mine)
-            if servers.pid is not None:
-                os.kill(servers.pid, signal.SIGKILL)
-            servers.join()
+            for process in (servers, others):
+                if process is not None and process.pid is not None:
+                    os.kill(process.pid, signal.SIGKILL)
+                    process.join()
     return results
 
 
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -14,10 +14,10 @@
 from sagetrack.http.front import Server
 from sagetrack.core.gateway import Back, Gateway
 from sagetrack.http.line import HttpLine, connect
-from sagetrack.ops.fairness import with_door
+from sagetrack.ops.fairness import shares_in, with_door
 from sagetrack.ops.fellowship import Handover, node_for
 from sagetrack.ops.listen import bind, inherit
-from sagetrack.ops.newer import Newer, keys_for, mixed_back, reader, renew
+from sagetrack.ops.newer import Newer, keys_for, mixed_back, reader, renew, with_newer
 from sagetrack.ops.overlap import Overlap
 from sagetrack.roster.discovery import CallError, Discovery, number_of
 from sagetrack.roster.split import HTTP, Split
@@ -41,7 +41,7 @@
 
     def __init__(self, config: Config, operator: Operator | None = None) -> None:
         asyncio.get_running_loop()  # RuntimeError without one
-        config = with_door(config, operator)
+        config = with_newer(with_door(config, operator), operator)
         self.config, self.operator = config, operator
         self.node: Node | None = None
         self.handover: Handover | None = None
@@ -71,7 +71,9 @@
         if mixed is not None:
             from sagetrack.h2.translate import untranslatable
 
-            self.newer = Newer(mixed, self.gateway.on_list)
+            self.newer = Newer(mixed, self.gateway)
+            if operator is not None and operator.newer.compare_per_s:
+                self.newer.compare(operator.newer, names, lambda: not self.server.drain.is_on)
             self.on_http = self.newer.on_list
             self.server.objection = untranslatable
             self.gateway.metrics.more.append(self.newer.figures)
@@ -93,9 +95,13 @@
         await self.start_dns()
         await self.start_new_front()
 
-    def on_shares(self, shares: tuple[float, ...]) -> None:
-        """The operator has changed the members' shares."""
-        self.gateway.post(lambda: Shares(shares))
+    def on_operator(self, config: Config, operator: Operator) -> None:
+        """The operator's file has been read again: shares count at once; ConfigError for unknown names."""
+        shares = shares_in(config, operator)
+        if self.newer is not None:
+            self.newer.renew(config, operator.newer)
+        if operator.queues.use:
+            self.gateway.post(lambda: Shares(shares))
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
         """Tell each protocol of its own servers."""
@@ -112,7 +118,8 @@
             return
         from sagetrack.h2.front import NewFront
 
-        front = NewFront(self.gateway, reader(self.config), lambda: self.server.drain.is_on)
+        drain, allowance = self.server.drain, self.server.allowance
+        front = NewFront(self.gateway, reader(self.config), lambda: drain.is_on, allowance)
         secured = self.keys.serve() if self.keys is not None else None
         places = [parse_address(place, "newer.listen") for place in asked.listen]
         try:
--- a/sagetrack/ops/newer.py
+++ b/sagetrack/ops/newer.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Config, ConfigError
-from sagetrack.core.calls import Entry, Header, OnList
-from sagetrack.core.gateway import Back, Call, Client
+from sagetrack.core.bodies import Upload
+from sagetrack.core.calls import Entry, Header
+from sagetrack.core.gateway import Back, Call, Client, Gateway
 from sagetrack.core.log import log
-from sagetrack.decide.interface import ListKind
+from sagetrack.decide.interface import ListKind, Turns
 from sagetrack.decide.moving import Move
 from sagetrack.http.requests import Request, RequestError, read_call
 from sagetrack.roster.discovery import number_of
 
 if TYPE_CHECKING:
-    from sagetrack.config.operator import Operator
+    from sagetrack.config.operator import NewerSettings, Operator
     from sagetrack.h2.front import Read
-    from sagetrack.h2.mixed import Mixed
+    from sagetrack.h2.mixed import Mixed, Turned
+    from sagetrack.h2.shadow import Shadow
     from sagetrack.h2.tls import Keys
 
 LOOK_S = 1.0  # between looks at the share of the newer format
@@ -29,9 +33,11 @@
     from sagetrack.h2.outcomes import Status
 
     def read(
-        method: str, target: bytes, headers: list[Header], body: bytes, budget_us: int, client: Client
-    ) -> Call:
+        method: str, target: bytes, headers: list[Header], body: bytes, budget_us: int, client: Client,
+        upload: Upload | None,
+    ) -> Call:  # fmt: skip
         request = Request()
+        request.upload = upload
         request.method, request.target, request.body = method.encode(), target, [body] if body else []
         request.headers = [
             *headers, *([(b"X-Budget-Ms", b"%d" % max(1, budget_us // 1000))] if budget_us else [])
@@ -48,10 +54,12 @@
 class Newer:
     """Both formats behind one back, the share between them, and the keys."""
 
-    def __init__(self, mixed: Mixed, on_list: OnList) -> None:
-        self.mixed, self.tell = mixed, on_list
+    def __init__(self, mixed: Mixed, gateway: Gateway) -> None:
+        self.mixed, self.gateway, self.tell = mixed, gateway, gateway.on_list
+        self.shadow: Shadow | None = None
         self.loop = asyncio.get_running_loop()
         mixed.on_move = self.left
+        mixed.on_turns = self.on_turns
         self.timer = self.loop.call_later(LOOK_S, self.look)
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
@@ -66,6 +74,26 @@
         if changed:
             self.tell(ListKind.DELTA, changed)
 
+    def on_turns(self, classes: Turned, members: Turned) -> None:
+        turns = Turns(classes, members)
+        self.gateway.post(lambda: turns)
+
+    def compare(self, asked: NewerSettings, names: list[str], wanted: Callable[[], bool]) -> None:
+        """Hold answers of both formats against each other, at so many a second."""
+        from sagetrack.h2.shadow import Shadow
+
+        self.shadow = Shadow(self.gateway, asked.compare_per_s, asked.compare_ignore, names, wanted)
+        self.mixed.on_answer = self.shadow.answered
+
+    def renew(self, config: Config, asked: NewerSettings) -> None:
+        """Other shares, while calls go on; ConfigError if they name what is not there."""
+        classes, members = parts(config, asked)
+        move = self.mixed.move
+        if (move.share, move.classes, move.members) != (asked.share, classes, members):
+            log(f"the newer format's share is now {'as listed' if asked.share is None else asked.share}")
+            move.share, move.classes, move.members = asked.share, classes, members
+            self.turn()
+
     def look(self) -> None:
         self.timer = self.loop.call_later(LOOK_S, self.look)
         self.turn()
@@ -79,7 +107,8 @@
     def figures(self) -> dict[str, float]:
         """For the stats."""
         move = self.mixed.move
-        return self.mixed.new.figures() | {
+        found = self.shadow.figures() if self.shadow is not None else {}
+        return found | self.mixed.new.figures() | {
             "new_failing": round(move.new.failing, 4), "old_failing": round(move.old.failing, 4),
             "new_returns_total": move.returns,
         }  # fmt: skip
@@ -121,4 +150,28 @@
 
     new = NewPools(config.settings, lambda: keys.context if keys is not None else None)
     kinds = [number_of(name, config.names.kinds) for name in asked.types]
-    return Mixed(old, new, kinds, Move(asked.share), lambda: None)
+    return Mixed(old, new, kinds, Move(asked.share, *parts(config, asked)), lambda: None)
+
+
+def with_newer(config: Config, operator: Operator | None) -> Config:
+    """The configuration in which the module knows which servers speak the newer format."""
+    if operator is None or not operator.newer.types:
+        return config
+    kinds = frozenset(number_of(name, config.names.kinds) for name in operator.newer.types)
+    return replace(config, settings=replace(config.settings, newer_kinds=kinds))
+
+
+def parts(config: Config, asked: NewerSettings) -> tuple[dict[int, float], dict[int, float]]:
+    """Shares by class and by member, by number; ConfigError for a name that is not known."""
+    found = []
+    for what, given, known in (
+        ("class", asked.share_by_class, config.names.classes),
+        ("member", asked.share_by_member, config.names.tenants),
+    ):
+        numbers = {name.decode(): number for name, number in known.items()}
+        for name in given:
+            if name not in numbers:
+                there = ", ".join(numbers)
+                raise ConfigError(f"newer.share_by_{what}: no {what} {name!r}; there are {there}")
+        found.append({numbers[name]: part for name, part in given.items()})
+    return found[0], found[1]
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -81,10 +81,8 @@
             log(str(error), "error")
             return 2
         gateway, server = instance.gateway, instance.server
-        has_door = gateway.balancer.door is not None
         on_keys = instance.renew_keys if instance.keys is not None else None
-        path = operators if has_door else None
-        reloader = Reloader(instance.discovery, path, instance.on_shares, on_keys)
+        reloader = Reloader(instance.discovery, operators or None, instance.on_operator, on_keys)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
         admin = Admin(server)
         address: Address | None = config.admin
--- a/sagetrack/ops/reload.py
+++ b/sagetrack/ops/reload.py
@@ -4,23 +4,26 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Config, ConfigError, load
-from sagetrack.ops.fairness import shares_in
 from sagetrack.roster.discovery import Discovery
 from sagetrack.core.log import log
 
 
-OnShares = Callable[[tuple[float, ...]], None]
+if TYPE_CHECKING:
+    from sagetrack.config.operator import Operator
 
+OnOperator = Callable[[Config, "Operator"], None]
 
-def new_shares(path: str, config: Config) -> tuple[float, ...]:
-    """The members' shares as the operator's file has them now; ConfigError if it cannot be read."""
+
+def read_again(path: str) -> Operator:
+    """The operator's file as it is now; ConfigError if it cannot be read."""
     from sagetrack.config.checked import FileError
     from sagetrack.config.operator import load as load_operator
 
     try:
-        return shares_in(config, load_operator(path))
+        return load_operator(path)
     except FileError as error:
         raise ConfigError(str(error.faults[0])) from None
 
@@ -29,10 +32,10 @@
     """Reads LB_CONFIG once for each time that is asked, or once for several that come together."""
 
     def __init__(
-        self, discovery: Discovery, operator: str | None = None, on_shares: OnShares | None = None,
+        self, discovery: Discovery, operator: str | None = None, on_operator: OnOperator | None = None,
         on_keys: Callable[[], None] | None = None,
     ) -> None:  # fmt: skip
-        self.discovery, self.operator, self.on_shares = discovery, operator, on_shares
+        self.discovery, self.operator, self.on_operator = discovery, operator, on_operator
         self.on_keys = on_keys
         self.asked = False
         self.reading: asyncio.Task[None] | None = None
@@ -51,8 +54,8 @@
                 self.take(config)
                 if self.on_keys is not None:
                     self.on_keys()
-                if self.operator is not None and self.on_shares is not None:
-                    self.on_shares(await asyncio.to_thread(new_shares, self.operator, config))
+                if self.operator is not None and self.on_operator is not None:
+                    self.on_operator(config, await asyncio.to_thread(read_again, self.operator))
         except ConfigError as error:
             log(f"all stays as it is: {error}")
         finally:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -43,7 +43,7 @@
 from sagetrack.lab.scenario import altered, load
 from sagetrack.lab.virtual import play
 from sagetrack.ops.fairness import shares_in, with_door
-from sagetrack.ops.reload import new_shares
+from sagetrack.ops.reload import read_again
 from sagetrack.peers.codec import Datagram, decode, encode
 from sagetrack.peers.demand import PLACES, Herald, demands_in, wanted
 from tests.sockets import configuration, on_loop, request, running
@@ -411,7 +411,7 @@
     file.write_text("[queues]\nuse = true\nshares = { zeta = 3.0 }\n[limits]\nclass_per_s = { hold = 5 }\n")
     made = with_door(config, load_operator(str(file))).settings.door
     assert made is not None and made.shares == (0.0, 3.0) and made.class_rates[1] == Rate(5.0, 10.0)
-    assert new_shares(str(file), config) == (0.0, 3.0)
+    assert shares_in(config, read_again(str(file))) == (0.0, 3.0)
     file.write_text("[queues]\nuse = true\nshares = { nobody = 1.0 }\n")
     with pytest.raises(ConfigError, match="no member 'nobody'; there are acme, zeta"):
         shares_in(config, load_operator(str(file)))
--- a/tests/test_h2.py
+++ b/tests/test_h2.py
@@ -18,22 +18,29 @@
 
 from sagetrack.config.checked import FileError
 from sagetrack.config.operator import load as load_operator
-from sagetrack.config.platform import parse
+from sagetrack.config.platform import ConfigError, parse
 from sagetrack.core.bodies import Allowance, Upload
 from sagetrack.core.calls import Entry, Reply
 from sagetrack.core.gateway import Call
-from sagetrack.decide.interface import ListedServer, Outcome, ServerStatus
+from sagetrack.decide.balance import Balancer
+from sagetrack.decide.interface import (
+    AttemptEnded, Effect, ListedServer, ListKind, Outcome, RequestArrived, RequestClass, Send, ServerList,
+    ServerStatus, Turns,
+)  # fmt: skip
 from sagetrack.decide.moving import LEAST, STEP_US, Move
 from sagetrack.h2 import outcomes
 from sagetrack.h2.back import Line, NewPools
-from sagetrack.h2.fuzz import fuzz
+from sagetrack.h2.fuzz import fuzz, fuzz_front
 from sagetrack.h2.messages import LIMIT, MessageError, Unpacker, pack
 from sagetrack.h2.metadata import TranslationError, binary, from_binary, timeout_header, timeout_us
+from sagetrack.h2.mixed import Mixed
 from sagetrack.h2.outcomes import Reset, Status
+from sagetrack.h2.shadow import Report, difference
 from sagetrack.h2.tls import Keys, KeysError
 from sagetrack.h2.translate import from_new, to_new, to_new_answer, to_old, untranslatable
-from sagetrack.http.back import Message
+from sagetrack.http.back import Message, Pools
 from sagetrack.lab.newserver import Asked, NewConnection
+from sagetrack.lab.scripted import peer
 from tests.sockets import configuration, on_loop, request, running, until
 
 SETTINGS = parse(configuration("127.0.0.1:9")).settings
@@ -486,6 +493,91 @@
 def test_mutated_frames_of_a_fixed_seed_break_nothing() -> None:
     found = fuzz(3000, 3)
     assert not found.wrong and found.closed > 100 and found.answered > 100
+    found = fuzz_front(3000, 3)
+    assert not found.wrong and found.closed > 10 and found.answered > 50
+
+
+def test_a_member_and_a_class_have_shares_of_their_own_and_a_copy_one_format_alone() -> None:
+    kinds = tuple(RequestClass(1_000_000, 3_000_000, effect=Effect.SAFE) for _ in range(2))
+    move = Move(0.5, {1: 0.1}, {1: 1.0})
+    settings = replace(SETTINGS, classes=kinds, newer_kinds=frozenset({7}), crowd=1000.0)
+    balancer = Balancer(settings, 1)
+    old, new = move.factors(0, 4.0, 4.0)
+    servers = tuple(ListedServer(n, weight=new if n % 2 else old, kind=7 if n % 2 else 0) for n in range(8))
+    balancer.handle(0, ServerList(ListKind.FULL, servers))
+    balancer.handle(0, Turns(*move.turns(0, 4.0, 4.0)))
+
+    def newer(klass: int, tenant: int, only: int = -1) -> float:
+        hits = 0
+        for n in range(400):
+            now, name = n * 20_000, f"{klass}{tenant}{only}{n}"
+            event = RequestArrived(name, klass, 3_000_000, tenant=tenant, only=only, is_retry=only >= 0)
+            (sent,) = [a for a in balancer.handle(now, event) if isinstance(a, Send)]
+            hits += sent.server % 2
+            balancer.handle(now + 5, AttemptEnded(name, 0, sent.server, Outcome.OK, 5, True))
+        return hits / 400
+
+    assert newer(0, 0) == pytest.approx(0.5, abs=0.2) and newer(1, 0) < 0.25 and newer(1, 1) == 1.0
+    assert newer(0, 1, only=0) == 0.0 and newer(1, 0, only=1) == 1.0
+    balancer.shed = 0.5  # something is refused: a copy is the first
+    assert not any(isinstance(a, Send) for a in balancer.handle(9, RequestArrived("z", 0, 9_000_000, only=1)))
+
+
+def test_answers_differ_by_status_header_or_body_and_not_by_what_is_of_the_way() -> None:
+    one = Reply(200, [(b"X-A", b"1"), (b"Date", b"now")], b"b", True)
+    assert difference(one, Reply(200, [(b"x-a", b"1"), (b"date", b"then")], b"b", False)) is None
+    assert difference(one, Reply(200, [(b"X-A", b"2")], b"b", True)) == "header x-a"
+    assert difference(one, Reply(404, [(b"X-A", b"1")], b"b", True)) == "status 200 404"
+    assert difference(one, Reply(200, [(b"X-A", b"1")], b"c", True)) == "body"
+    report = Report(most=1)
+    assert report.enter(0, "body", 0) and not report.enter(0, "body", 1) and report.enter(0, "status 1 2", 2)
+    assert report.different == {(0, "body"): 2, (0, "other"): 1}
+
+
+@on_loop
+async def test_answers_of_both_formats_are_compared_and_shares_change_on_sighup(tmp_path: Path) -> None:
+    file = tmp_path / "operator.toml"
+    file.write_text('[newer]\ntypes = ["v2"]\nshare = 0.0\ncompare_per_s = 1000.0\n')
+    seen: list[str] = []
+
+    def take(connection: NewConnection, asked: Asked) -> None:
+        seen.append(asked.headers["x-call-class"])
+        connection.answer(asked, body=b"other")
+
+    async with rigged(on_call=take) as rig, peer() as host:
+        config = configuration(host, f"127.0.0.1:{rig.entry.address[1]}")
+        config["known"]["endpoints"][1]["type"] = "v2"
+        async with running(config, load_operator(str(file))) as gateway:
+            newer = gateway.instance.newer
+            assert newer is not None and newer.shadow is not None
+            assert (await gateway.ask(request("hold", b"keyed"))).status == 200
+            assert (await gateway.ask(request("search"))).status == 200
+            report = newer.shadow.report
+            await until(lambda: report.different)
+            assert seen == ["search"] and report.asked == 1  # what changes something is never copied
+            assert "svc_new_differs_search_total 1\n" in gateway.server.stats()
+            assert 'answered_total{group="search"} 1\n' in gateway.server.stats()
+            file.write_text('[newer]\ntypes = ["v2"]\nshare = 1.0\nshare_by_class = { search = 0.0 }\n')
+            gateway.instance.on_operator(parse(config), load_operator(str(file)))
+            answers = [await gateway.ask(request("hold", b"k")), await gateway.ask(request("search"))]
+            assert [a.body for a in answers] == [b"other", answers[1].body] and answers[1].body != b"other"
+            file.write_text('[newer]\ntypes = ["v2"]\nshare_by_member = { nobody = 0.5 }\n')
+            with pytest.raises(ConfigError, match="no member 'nobody'; there are acme, zeta"):
+                gateway.instance.on_operator(parse(config), load_operator(str(file)))
+
+
+def test_a_server_that_changes_its_format_leaves_the_side_that_it_was_on() -> None:
+    async def play() -> None:
+        old, new = Pools(SETTINGS), NewPools(SETTINGS)
+        mixed = Mixed(old, new, [7], Move(None), lambda: None)
+        for kind, at in ((0, old), (7, new), (0, old)):
+            mixed.put(Entry("n", ("127.0.0.1", 9), ListedServer(1, kind=kind)))
+            assert (1 in at.listed) and (1 in old.listed) + (1 in new.listed) == 1 == len(mixed.listed)
+        mixed.remove(1)
+        assert not mixed.listed and not old.listed and not new.listed
+        mixed.close()
+
+    asyncio.run(play())
 
 
 # Clients of the newer format
@@ -539,12 +631,46 @@
         wrong = [
             asked_for(client, head_of(200, "nothing", "nothing")),
             asked_for(client, head_of(201, "hold", "search")),
-            asked_for(client, head_of(202), b"x" * 200_000),
+            asked_for(client, head_of(202), b"x" * 200_000),  # one message: a long body comes in several
         ]
         await until(lambda: all(c.ends for c in wrong))
         assert [c.ends[0][0] for c in wrong] == [Outcome.ERROR] * 3 and front.counts.unreadable == 3
 
 
+@on_loop
+async def test_a_long_body_of_a_new_client_passes_through_and_one_that_is_cut_is_never_whole(
+    tmp_path: Path,
+) -> None:
+    whole: list[bytes] = []
+
+    def take(connection: NewConnection, asked: Asked) -> None:
+        whole.append(asked.body)
+        connection.answer(asked, body=b"%d" % len(asked.body))
+
+    async with fronted(tmp_path, on_call=take) as (client, gateway, front):
+
+        async def send(number: int, size: int, told: int | None) -> Heard:
+            upload, heard = Upload(told, Allowance(64)), Heard()
+            message = Message(head_of(number), b"")
+            call = Call("a", 0, 5_000_000, None, None, False, 0, message, None, upload)  # type: ignore[arg-type]
+            client.pools.begin(call, 1, 5_000_000, heard)
+            for _ in range(0, size, 50_000):
+                await until(lambda: not upload.is_full or heard.ends)
+                upload.feed(b"z" * 50_000)
+            upload.end()
+            await until(lambda: heard.ends)
+            return heard
+
+        for number, told in ((1, 1_000_000), (2, None)):
+            heard = await send(number, 1_000_000, told)
+            assert heard.ends[0][1] is not None and heard.ends[0][1].body == b"1000000"
+        assert [len(body) for body in whole] == [1_000_000] * 2
+        for number, told in ((3, 1_000_001), (4, 900_000)):  # shorter and longer than it was to be
+            assert (await send(number, 1_000_000, told)).ends[0][0] is not Outcome.OK
+        assert len(whole) == 2
+        await until(lambda: not gateway.gateway.held and not front.allowance.active)
+
+
 @on_loop
 async def test_a_refusal_says_when_to_come_back_and_a_drain_moves_clients_on(tmp_path: Path) -> None:
     async with fronted(tmp_path, on_call=lambda c, a: c.trailers_only(a, 8, x_rejected="1")) as made:
