Newer format: a long body that breaks off ends its call; lab bodies measures memory

Cause: a million mutated frames left six calls in work: a message over the limit inside a body that was passed on refused the client and never told the gateway. The log's word on how long the newer format is left alone counted from 1970 where no older server had answered.

Change: such a call is given up as one whose client has gone; the time is counted from now; lab bodies plays so many calls with 1 MB both ways at once.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -477,6 +477,30 @@
     Console(width=150).print(table)
 
 
+@app.command("bodies")
+def bodies(
+    streams: Annotated[int, typer.Option(help="calls under way at once", min=1, max=5000)] = 1000,
+    body_kb: Annotated[int, typer.Option(help="of each body, both ways", min=1, max=32_000)] = 1000,
+) -> None:
+    """Measure the gateway's memory while long bodies pass to and from servers of the newer format."""
+    from sagetrack.lab.bodies import measure as measure_bodies
+    from sagetrack.lab.real import LabError
+
+    try:
+        with bar("bodies", False) as tell:
+            found = measure_bodies(streams, body_kb, tell)
+    except LabError as error:
+        raise fail(str(error)) from None
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    print(
+        f"{found.whole} of {found.streams} calls whole in {found.seconds} s, {found.body_kb} kB each way; "
+        f"memory {found.idle_mb} MB idle, {found.sending_mb} while bodies came, {found.peak_mb} at the most: "
+        f"{found.each_kb} kB a call"
+    )
+    raise typer.Exit(0 if found.whole == found.streams else 1)
+
+
 @app.command("fuzz-h2")
 def fuzz_h2(
     frames: Annotated[int, typer.Option(help="about how many", min=1)] = 100_000,
--- a/sagetrack/h2/front.py
+++ b/sagetrack/h2/front.py
@@ -254,7 +254,7 @@
                     stream.messages.append(message)
                     stream.held += len(message)
         except MessageError as error:
-            stream.refuse(Status.RESOURCE_EXHAUSTED, str(error))
+            self.front.stop(stream, Status.RESOURCE_EXHAUSTED, str(error))
             return
         if stream.upload is None and stream.held > self.front.most_held:
             self.front.hand_over(stream)
--- a/sagetrack/ops/newer.py
+++ b/sagetrack/ops/newer.py
@@ -10,6 +10,7 @@
 from sagetrack.config.platform import Config, ConfigError
 from sagetrack.core.bodies import Upload
 from sagetrack.core.calls import Entry, Header
+from sagetrack.core.clock import now_us
 from sagetrack.core.gateway import Back, Call, Client, Gateway
 from sagetrack.core.log import log
 from sagetrack.decide.interface import ListKind, Turns
@@ -100,7 +101,7 @@
 
     def left(self) -> None:
         """The newer format fails more than the older one: at once, nothing goes there that need not."""
-        hold_s = (self.mixed.move.held_until_us - self.mixed.move.old.at_us) / 1e6
+        hold_s = (self.mixed.move.held_until_us - now_us()) / 1e6
         log(f"servers of the newer format fail more than the others: none of the share for {hold_s:.0f} s")
         self.loop.call_soon(self.turn)
 
