A durable store: log, bases, recovery, its commands and its torture

Need: what must outlive a crash had nowhere to go.

Change: package store (format, engine without I/O of its own, files, a thread that commits in groups and compacts in steps of 2 ms), a directory in memory that crashes, tears and fails, store verify, dump, compact, repair and torture.

--- a/sagetrack/cli/app.py
+++ b/sagetrack/cli/app.py
@@ -7,7 +7,7 @@
 import typer
 
 from sagetrack import __version__
-from sagetrack.cli import check, demo, lab, peers, run
+from sagetrack.cli import check, demo, lab, peers, run, store
 
 app = typer.Typer(
     help="A gateway for fleets of servers, and a lab that plays such a fleet on this machine.",
@@ -20,6 +20,7 @@
 app.command("demo")(demo.demo)
 app.command("peers")(peers.peers)
 app.add_typer(lab.app, name="lab")
+app.add_typer(store.app, name="store")
 
 
 @app.command("version")
--- /dev/null
+++ b/sagetrack/cli/store.py
@@ -0,0 +1,130 @@
+"""`sagetrack store …`: check a store, write its values out, make it smaller, mend it, torture one."""
+
+from __future__ import annotations
+
+import json
+import sys
+from contextlib import ExitStack, suppress
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from sagetrack.cli.lab import INTERRUPTED, SHOWN, bar, fail
+
+if TYPE_CHECKING:
+    from sagetrack.store.engine import Opened, Store
+
+app = typer.Typer(help="A gateway's store on disk (docs/operators/store.md).", no_args_is_help=True)
+
+Folder = Annotated[Path, typer.Argument(help="the store's directory")]
+
+
+def opened(folder: Path, stack: ExitStack, writes: bool) -> tuple[Store, Opened]:
+    """The store, to be read in a copy-free way without `writes`; fails with one line."""
+    from sagetrack.store.engine import Options, Store
+    from sagetrack.store.files import Disk, Looking
+    from sagetrack.store.format import FormatError, NewerError
+
+    if not folder.is_dir():
+        raise fail(f"{folder}: no directory")
+    try:
+        files = Disk(folder, create=False) if writes else Looking(folder)
+        stack.callback(files.close)
+        store = Store(files, Options(most_bytes=2**50), lambda line: print(line, file=sys.stderr))
+        return store, store.open()
+    except BlockingIOError:
+        raise fail(f"{folder}: a gateway or another command has this store") from None
+    except (OSError, NewerError, FormatError) as error:
+        raise fail(f"{folder}: {getattr(error, 'strerror', None) or error}") from None
+
+
+@app.command("verify")
+def verify(folder: Folder) -> None:
+    """Read all of it, change nothing; exit 1 if anything is damaged."""
+    with ExitStack() as stack:
+        store, found = opened(folder, stack, False)
+        snapshot = store.snapshot()
+        values = size = 0
+        with bar("verify", False) as tell:
+            for op in snapshot.items():
+                values += 1
+                size += len(op.key) + len(op.value or b"")
+                if values % 1000 == 0:
+                    tell(min(1.0, size / max(1, store.bytes)))
+        print(
+            f"{folder}: batch {found.seq} is the last; {values} values of {size} bytes in {store.bytes} "
+            f"bytes; {len(found.aside)} parts damaged, {found.lost_bytes} bytes"
+        )
+        for line in found.aside[:SHOWN]:
+            print(line)
+        raise typer.Exit(1 if found.aside else 0)
+
+
+@app.command("dump")
+def dump(
+    folder: Folder, space: Annotated[str | None, typer.Option(help="this space alone")] = None
+) -> None:
+    """Write every value as a line of JSON; what is no MessagePack as text of its bytes in base 16."""
+    import msgspec
+
+    with ExitStack() as stack:
+        store, _ = opened(folder, stack, False)
+        for op in store.snapshot().items(space):
+            value: object = (op.value or b"").hex()
+            with suppress(msgspec.DecodeError, UnicodeDecodeError):
+                value = msgspec.to_builtins(msgspec.msgpack.decode(op.value or b""))
+            key = op.key.decode() if op.key.isascii() and op.key.decode().isprintable() else op.key.hex()
+            print(json.dumps({"space": op.space, "key": key, "at_ms": op.at_ms, "value": value}))
+
+
+@app.command("compact")
+def compact(folder: Folder) -> None:
+    """Make a new base, and let go what it replaces."""
+    import time
+
+    with ExitStack() as stack:
+        store, found = opened(folder, stack, True)
+        before, records = store.bytes, max(1, found.records + len(store.tail))
+        with bar("compact", False) as tell:
+            for step, _ in enumerate(store.compact(int(time.time() * 1000))):
+                tell(min(1.0, step * 200 / records))
+        print(f"{folder}: {before} bytes before, {store.bytes} now")
+
+
+@app.command("repair")
+def repair(
+    folder: Folder,
+    dry_run: Annotated[bool, typer.Option("--dry-run", help="say it, change nothing")] = False,
+) -> None:
+    """Put aside what is damaged, as a gateway does when it opens the store; exit 0 if it can be used then."""
+    with ExitStack() as stack:
+        _, found = opened(folder, stack, not dry_run)
+        would = "would be" if dry_run else "is"
+        print(f"{folder}: batch {found.seq} {would} the last; {found.lost_bytes} bytes {would} put aside")
+        for line in found.aside:
+            print(line)
+
+
+@app.command("torture")
+def torture(
+    seconds: Annotated[float, typer.Option(help="about how long", min=1, max=86_400)] = 30.0,
+    seed: Annotated[int, typer.Option(help="what is drawn follows from it", min=0)] = 1,
+) -> None:
+    """Cut and flip every byte of a store, crash it anywhere, kill a writer; exit 0 if all held."""
+    from sagetrack.lab.torture import torture as run
+
+    try:
+        with bar("torture", False) as tell:
+            parts = {"bytes": (0.0, 0.6), "crashes": (0.6, 0.2), "kills": (0.8, 0.2)}
+            found = run(seconds, seed, lambda part, share: tell(parts[part][0] + parts[part][1] * share))
+    except KeyboardInterrupt:
+        raise typer.Exit(INTERRUPTED) from None
+    print(
+        f"{found.cut} cuts and {found.flipped} flipped bits ({found.whole} of them lost nothing), "
+        f"{found.crashes} crashes with {found.errors} errors of the disk, {found.kills} writers killed after "
+        f"{found.acknowledged} batches: {len(found.wrong)} wrong"
+    )
+    for line in found.wrong[:SHOWN]:
+        print(line)
+    raise typer.Exit(1 if found.wrong else 0)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,258 @@
+"""The store: damaged bytes, crashes, disks that fail, other versions, its thread and its commands."""
+
+from __future__ import annotations
+
+import errno
+import json
+import random
+import subprocess
+import sys
+import threading
+import time
+from contextlib import closing, suppress
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from sagetrack.lab.storefaults import Crash, SimFiles
+from sagetrack.lab.torture import SMALL, Life, Tried, crash_once, kill_once, look, sample, state_of
+from sagetrack.store.engine import FullError, Options, Space, Store, StoreError
+from sagetrack.store.files import Disk
+from sagetrack.store.format import HEAD, LOG_MAGIC, NewerError, Op, frame, head
+from sagetrack.store.keeper import Keeper
+
+import msgspec
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def test_whatever_byte_is_cut_or_flipped_an_earlier_state_is_found() -> None:
+    files, states = sample(3, batches=9, bases=2)
+    tried = Tried()
+    for name in files.names():
+        for at in range(files.size(name)):
+            made = files.copy()
+            del made.bodies[name].data[at:]
+            look(made, states, tried, f"{name} cut at {at}")
+            made = files.copy()
+            made.bodies[name].data[at] ^= 1 << at % 8
+            look(made, states, tried, f"{name} flipped at {at}")
+    assert not tried.wrong, tried.wrong[:3]
+    assert tried.whole > 300  # a damaged base costs nothing
+
+
+def test_crashes_and_errors_of_the_disk_lose_nothing_that_was_acknowledged() -> None:
+    tried = Tried()
+    for seed in range(150):
+        crash_once(seed, tried)
+    assert not tried.wrong, tried.wrong[:3]
+    assert tried.crashes > 500 and tried.errors > 500
+
+
+class Machine(RuleBasedStateMachine):
+    """Any order of writes, syncs, compactions, errors and crashes that hypothesis thinks of."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.files, self.life = SimFiles(), Life()
+        self.up()
+
+    def up(self) -> None:
+        self.files.failing = {}
+        self.store = Store(self.files, SMALL)
+        assert self.life.found(self.store.open().seq, state_of(self.store)) is None
+
+    @rule(keys=st.lists(st.integers(0, 5), min_size=1, max_size=3), value=st.binary(max_size=300))
+    def write(self, keys: list[int], value: bytes) -> None:
+        ops = [Op("s", b"%d" % key, value + b"%d" % key if value else None, 1) for key in keys]
+        self.life.begin([ops])
+        try:
+            self.store.write([ops])
+        except OSError:
+            return
+        self.life.written([ops])
+
+    @rule()
+    def sync(self) -> None:
+        with suppress(OSError):
+            self.life.lasts(self.store.sync())
+
+    @rule(steps=st.integers(0, 20))
+    def compact(self, steps: int) -> None:
+        with suppress(OSError), closing(self.store.compact(0)) as work:
+            for _ in range(steps):
+                next(work, None)
+
+    @rule(call=st.sampled_from(["append", "sync", "create", "rename", "sync_names"]))
+    def fail(self, call: str) -> None:
+        self.files.failing = {call: errno.EIO}
+
+    @precondition(lambda self: self.files.failing)
+    @rule()
+    def work_again(self) -> None:
+        self.files.failing = {}
+
+    @rule(seed=st.integers(0, 99), calls=st.integers(1, 9))
+    def crash(self, seed: int, calls: int) -> None:
+        self.files.failing = {}
+        self.files.crash_at = self.files.calls + calls
+        with suppress(Crash):
+            for _ in range(9):
+                self.sync()
+                self.write([seed % 6], b"at the end")
+                self.compact(50)
+        self.files = self.files.after_crash(random.Random(seed))
+        self.up()
+
+    @invariant()
+    def reads_what_was_written(self) -> None:
+        if not self.files.failing and self.store.current is not None:
+            assert state_of(self.store) == self.life.states[-1]
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = settings(max_examples=40, stateful_step_count=25, deadline=None, derandomize=True)
+
+
+def test_what_was_acknowledged_outlives_a_writer_that_is_killed(tmp_path: Path) -> None:
+    tried, last, draw = Tried(), 0, random.Random(1)
+    for _ in range(3):
+        last = kill_once(tmp_path, draw, last, tried)
+    assert not tried.wrong and tried.acknowledged > 0
+
+
+def test_an_older_format_is_carried_over_and_a_newer_one_left_alone() -> None:
+    files = SimFiles()
+    files.create("log-0000000000000001")
+    rows = msgspec.msgpack.encode([("s", b"k", b"old")])
+    files.append("log-0000000000000001", head(LOG_MAGIC, 1, version=1) + frame(rows, 1))
+    store = Store(files, SMALL)
+    store.open()
+    store.write([[Op("s", b"n", b"new", 1)]])
+    list(store.compact(0))
+    again = Store(files, SMALL)
+    assert again.open().records == 2 and again.get("s", b"k") == b"old"
+    files.create("log-00000000000000ff")
+    files.append("log-00000000000000ff", head(LOG_MAGIC, 9, version=7))
+    before = {name: bytes(body.data) for name, body in files.bodies.items()}
+    with pytest.raises(NewerError, match="format 7; this program knows formats 1 to 2"):
+        Store(files, SMALL).open()
+    assert before == {name: bytes(body.data) for name, body in files.bodies.items()}
+
+
+def test_at_the_bound_the_oldest_of_what_may_go_makes_room_and_the_rest_is_refused() -> None:
+    spaces = {"notes": Space(droppable=True), "brief": Space(age_ms=1000)}
+    store = Store(SimFiles(), Options(4000, 40_000, spaces))
+    store.open()
+    store.write([[Op("brief", b"b", b"x", 0), Op("kept", b"k", b"stays", 0)]])
+    refused = 0
+    for n in range(400):
+        try:
+            store.write([[Op("notes", b"%d" % n, bytes(200), n * 60_000)]])
+        except FullError:
+            refused += 1
+        if store.due:
+            list(store.compact(n * 60_000))
+        assert store.bytes <= 40_000
+    there = {key for space, key in state_of(store) if space == "notes"}
+    assert b"399" in there and b"0" not in there and refused == 0
+    assert store.get("kept", b"k") == b"stays" and store.get("brief", b"b", 10_000) is None
+    with pytest.raises(FullError):
+        for n in range(400):
+            store.write([[Op("kept", b"%d" % n, bytes(200), 0)]])
+
+
+def test_a_snapshot_stays_as_it_was_while_a_base_takes_the_place_of_another() -> None:
+    store = Store(SimFiles(), SMALL)
+    store.open()
+    for n in range(60):
+        store.write([[Op("s", b"%d" % (n % 20), b"%d" % n, 1)]])
+        if n == 30:
+            list(store.compact(0))
+    snapshot, before = store.snapshot(), state_of(store)
+    for n in range(3):
+        store.write([[Op("s", b"%d" % n, b"later", 1)]])
+        list(store.compact(0))
+    assert {(op.space, op.key): op.value for op in snapshot.items()} == before
+    assert snapshot.get("s", b"0") == b"40" and store.get("s", b"0") == b"later"
+    names = len(store.files.names())
+    snapshot.close()
+    assert len(store.files.names()) < names
+
+
+def test_another_process_is_kept_out(tmp_path: Path) -> None:
+    first = Disk(tmp_path)
+    with pytest.raises(BlockingIOError):
+        Disk(tmp_path)
+    keeper = Keeper(lambda: Disk(tmp_path), SMALL, lambda line: None)
+    with pytest.raises(StoreError, match="another process has it"):
+        keeper.start()
+    first.close()
+    Disk(tmp_path).close()
+
+
+class Slow(SimFiles):
+    """A disk that stands still until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = threading.Event()
+
+    def append(self, name: str, data: bytes) -> None:
+        self.go.wait(10)
+        super().append(name, data)
+
+
+def test_a_slow_or_failing_disk_holds_nobody_up_and_is_told_once() -> None:
+    files, lines, lasting = Slow(), list[str](), list[bool]()
+    keeper = Keeper(lambda: files, SMALL, lines.append, sync="batch")
+    keeper.start()
+    began = time.monotonic()
+    for n in range(200):
+        assert keeper.put([Op("s", b"%d" % n, bytes(30), 1)], lasting.append)
+    while keeper.put([Op("s", b"big", bytes(100_000), 1)]):
+        pass  # the disk stands still: memory is bounded
+    assert time.monotonic() - began < 5 and keeper.counts.dropped == 1 and not lasting
+    files.failing = {"sync": errno.EIO, "append": errno.ENOSPC}
+    files.go.set()
+    keeper.close()
+    assert len([line for line in lines if "keeps nothing for now" in line]) == 1
+    assert lasting.count(False) == 200 and keeper.figures()["store_failing"] == 1
+    good = Keeper(SimFiles, SMALL, lines.append, sync="batch")
+    good.start()
+    good.put([Op("s", b"k", b"v", 1)], lasting.append)
+    good.close()
+    assert lasting[-1] is True and good.store is not None and good.store.get("s", b"k") == b"v"
+
+
+def test_the_commands_tell_and_mend_what_is_damaged(tmp_path: Path) -> None:
+    folder = tmp_path / "store"
+    store = Store(Disk(folder), SMALL)
+    store.open()
+    for n in range(5):
+        store.write([[Op("s", b"k%d" % n, msgspec.msgpack.encode({"n": n}), 7)]])
+    store.close()
+    (folder / "strange.txt").write_text("not ours")
+    log = next(folder.glob("log-*"))
+    log.write_bytes(log.read_bytes()[:-3])
+
+    def command(*words: str) -> subprocess.CompletedProcess[str]:
+        line = [sys.executable, "-m", "sagetrack", "store", *words]
+        return subprocess.run(line, cwd=ROOT, text=True, capture_output=True, timeout=60)
+
+    bad = command("verify", str(folder))
+    assert bad.returncode == 1 and "batch 4 is the last; 4 values" in bad.stdout
+    rows = [json.loads(line) for line in command("dump", str(folder)).stdout.splitlines()]
+    assert {"space": "s", "key": "k2", "at_ms": 7, "value": {"n": 2}} in rows and len(rows) == 4
+    size = log.stat().st_size
+    dry = command("repair", str(folder), "--dry-run")
+    assert dry.returncode == 0 and log.stat().st_size == size and "would be put aside" in dry.stdout
+    assert command("repair", str(folder)).returncode == 0 and log.stat().st_size < size
+    assert command("verify", str(folder)).returncode == 0
+    assert command("compact", str(folder)).returncode == 0
+    none = command("verify", str(tmp_path / "none"))
+    assert none.returncode == 2 and none.stderr.count("\n") == 1
+    assert (folder / "strange.txt").read_text() == "not ours" and HEAD.size == 22
