The store's first uses: what is known of servers, and a record a second

Need: a gateway that starts again without peers knew nothing of its servers, and nothing was left for reports.

Change: [store] in the operator's file, off without a folder; once a second what is known is kept and taken up at the next start, weighed by its age; a flight recorder keeps counts, outcomes, latencies and events of each second. A disk that fails holds nobody up.

--- a/sagetrack/config/operator.py
+++ b/sagetrack/config/operator.py
@@ -112,6 +112,18 @@
     compare_ignore: list[str] = msgspec.field(default_factory=list)  # headers that may differ
 
 
+class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A store on disk (docs/operators/store.md); off without a folder."""
+
+    folder: str = ""  # {gateway} stands for the gateway's name: each has a folder of its own
+    sync: Literal["batch", "every", "never"] = "every"
+    every_s: Annotated[float, Meta(ge=0.001, le=60)] = 0.1
+    most_mb: Annotated[float, Meta(ge=1, le=100_000)] = 64.0
+    knowledge: bool = True  # of servers, so that a restart is warm
+    recorder: bool = True  # a record a second, for reports
+    keep_hours: Annotated[float, Meta(gt=0, le=87_600)] = 168.0
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
@@ -121,6 +133,7 @@
     queues: QueueSettings = msgspec.field(default_factory=QueueSettings)
     limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
     newer: NewerSettings = msgspec.field(default_factory=NewerSettings)
+    store: StoreSettings = msgspec.field(default_factory=StoreSettings)
 
 
 def load(path: str) -> Operator:
@@ -132,6 +145,8 @@
     """What types cannot tell."""
     if operator.limits != LimitSettings() and not operator.queues.use:
         yield Fault(("limits",), "limits needs queues.use = true")
+    if operator.store != StoreSettings() and not operator.store.folder:
+        yield Fault(("store",), 'store needs folder, as in "/var/lib/sagetrack/{gateway}"')
     newer = operator.newer
     if newer != NewerSettings() and not newer.types and not newer.listen:
         yield Fault(("newer",), 'newer needs types, of servers in the list, as in ["v2"], or listen')
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -178,6 +178,24 @@
         return not self.closed and self.call.only < 0 and (self.call.upload is None or self.call.upload.ended)
 
 
+class Recorder(Protocol):
+    """Keeps a record of what happens, where the operator has a store."""
+
+    def attempt(self, klass: int, outcome: str, latency_us: int, good: bool) -> None: ...
+
+    def event(self, line: str) -> None: ...
+
+
+def changes(entries: Sequence[Entry]) -> str:
+    """What a list says, in few words: how many servers by status, and those that leave by name."""
+    by: dict[str, int] = {}
+    for entry in entries:
+        by[entry.listed.status.value] = by.get(entry.listed.status.value, 0) + 1
+    left = [entry.name for entry in entries if entry.listed.status is not ServerStatus.READY]
+    told = ", ".join(f"{count} {status}" for status, count in by.items()) or "nothing"
+    return told + (f" ({' '.join(left[:20])})" if left else "")
+
+
 def count(counter: Counter, call: Call) -> None:
     """Count a client's call; a copy of one is nobody's."""
     if call.only < 0:
@@ -200,6 +218,7 @@
         self.held: dict[str, Held] = {}
         self.closed = False
         self.known = known
+        self.recorder: Recorder | None = None
         gauges = {
             "current": lambda: sum(held.is_current for held in self.held.values()),
             "cluster_size": lambda: len(self.back.listed),
@@ -297,6 +316,8 @@
                 self.back.remove(entry.listed.server)
             else:
                 self.back.put(entry)
+        if self.recorder is not None:
+            self.recorder.event(f"list {kind.value}: {changes(entries)}")
         return ServerList(kind, tuple(entry.listed for entry in entries))
 
     # Actions out
@@ -335,6 +356,8 @@
             case Log():
                 about = {} if action.server is None else {"server": action.server}
                 log(action.line, "info", "module", **about)
+                if self.recorder is not None:
+                    self.recorder.event(action.line)
             case _:
                 log(f"not carried out: {action!r}")
 
@@ -404,6 +427,9 @@
     ) -> Event:
         id_ = held.call.id
         held.out -= 1
+        if self.recorder is not None:
+            good = outcome is Outcome.OK
+            self.recorder.attempt(held.call.klass, outcome.value, attempt.latency_us, good)
         held.timed_out = outcome is Outcome.TIMEOUT
         if not held.closed and held.stream is attempt:
             self.finish(id_, held)
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -27,6 +27,7 @@
     from sagetrack.dns.service import Service
     from sagetrack.h2.front import NewFront
     from sagetrack.peers.node import Node
+    from sagetrack.ops.keeping import Keeping
 
 DNS = "dns"
 ZONE_S = 1.0  # between looks at what our own zone follows
@@ -79,6 +80,7 @@
             self.gateway.metrics.more.append(self.newer.figures)
         if self.keys is not None:
             self.gateway.metrics.more.append(self.keys.figures)
+        self.keeping: Keeping | None = None
         on_list = self.on_http if self.split is None else self.on_list
         self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery)
 
@@ -88,9 +90,12 @@
         overlap.join()
         self.gateway.known = overlap.newer_list(config.discovery, self.gateway.known)
         self.discovery.on_news = overlap.keep_list
+        self.start_store()
         descriptor = config.accept_fd
         listener: socket.socket = bind(config.listen) if descriptor is None else inherit(descriptor)
         self.server.start(listener, self.discovery)
+        if self.keeping is not None:
+            self.keeping.take()
         self.join_peers()
         await self.start_dns()
         await self.start_new_front()
@@ -129,6 +134,13 @@
         self.new_front = front
         self.gateway.metrics.more.append(front.figures)
 
+    def start_store(self) -> None:
+        """Open the store, where the operator has one; ConfigError if that cannot be."""
+        if self.operator is not None and self.operator.store.folder:
+            from sagetrack.ops.keeping import Keeping
+
+            self.keeping = Keeping(self.config, self.operator, self.gateway)
+
     def renew_keys(self) -> None:
         if self.keys is not None:
             renew(self.keys)
@@ -214,6 +226,8 @@
         """Give up everything at once."""
         self.server.close()
         self.leave_peers()
+        if self.keeping is not None:
+            self.keeping.close()
         if self.zone_timer is not None:
             self.zone_timer.cancel()
         if self.newer is not None:
--- /dev/null
+++ b/sagetrack/ops/keeping.py
@@ -0,0 +1,105 @@
+"""What the gateway keeps in its store, if the operator has one: knowledge of servers, a record a second."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sagetrack.config.platform import Config, ConfigError
+from sagetrack.core.clock import now_us
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.log import log
+from sagetrack.decide.interface import Learned
+from sagetrack.peers.handover import Note
+from sagetrack.store.engine import Options, Space, StoreError
+from sagetrack.store.files import Disk
+from sagetrack.store.format import FormatError, Op
+from sagetrack.store.keeper import Keeper
+from sagetrack.store.recorder import Recorder
+
+if TYPE_CHECKING:
+    from sagetrack.config.operator import Operator
+
+KNOWN, SECONDS = "known", "seconds"
+FUTURE_US = 1_000_000  # a sight that is further ahead is of a clock that was set back
+
+
+class Keeping:
+    """The store of one gateway and what goes into it. Made on a running loop."""
+
+    def __init__(self, config: Config, operator: Operator, gateway: Gateway) -> None:
+        """ConfigError, one plain line, if the store can't be opened."""
+        asked = operator.store
+        self.config, self.asked, self.gateway = config, asked, gateway
+        spaces = {SECONDS: Space(int(asked.keep_hours * 3_600_000), droppable=True)}
+        options = Options(most_bytes=int(asked.most_mb * 1_000_000), spaces=spaces)
+        folder = Path(asked.folder.replace("{gateway}", config.name))
+        self.keeper = Keeper(
+            partial(Disk, folder), options, lambda line: log(line, "warning"), asked.sync, asked.every_s
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            found = self.keeper.start(loop)
+        except StoreError as error:
+            raise ConfigError(f"store.folder {folder}: {error}") from None
+        for line in found.aside:
+            log(f"the store: {line}", "warning")
+        gateway.metrics.more.append(self.keeper.figures)
+        self.recorder: Recorder | None = None
+        if asked.recorder:
+            self.recorder = gateway.recorder = Recorder(len(config.settings.classes))
+        self.loop = loop
+        self.timer = loop.call_later(1.0, self.second)
+
+    def take(self) -> None:
+        """Once there is a list: begin with what was known before. Its age tells how much is believed."""
+        store = self.keeper.store
+        if not self.asked.knowledge or store is None:
+            return
+        try:
+            value = store.get(KNOWN, self.config.name.encode())
+            if value is None:
+                return
+            note: Note = msgspec.msgpack.decode(value, type=Note)
+        except (OSError, FormatError, msgspec.DecodeError) as error:
+            log(f"what was known of servers cannot be read: {error}", "warning")
+            return
+        now = now_us()
+        sights = tuple(sight for sight in note.sights if sight.seen_us <= now + FUTURE_US)
+        age_s = (now - note.written_us) / 1e6
+        log(f"took up what was known of {len(sights)} servers {age_s:.1f} s ago")
+        event = Learned(sights, tuple(note.latencies))
+        self.gateway.post(lambda: event)
+
+    def second(self) -> None:
+        """Once a second: what happened in it, and what is known now."""
+        self.timer = self.loop.call_later(1.0, self.second)
+        self.keep()
+
+    def keep(self) -> None:
+        at_ms = int(time.time() * 1000)
+        ops = []
+        if self.asked.knowledge:
+            sights, latencies = self.gateway.balancer.sights()
+            note = Note(self.config.name, now_us(), sights, latencies)
+            ops.append(Op(KNOWN, self.config.name.encode(), msgspec.msgpack.encode(note), at_ms))
+        if self.recorder is not None:
+            m = self.gateway.metrics
+            counters = (m.answered.by_class, m.deferred.by_class, m.errored.by_class, m.sends.by_class)
+            made = self.recorder.second(at_ms // 1000, counters)
+            if made is not None:
+                key = f"{at_ms:015d} {self.config.name}".encode()
+                ops.append(Op(SECONDS, key, made, at_ms))
+        if ops:
+            self.keeper.put(ops)
+
+    def close(self) -> None:
+        """Keep what there is. Waits for the disk."""
+        self.timer.cancel()
+        self.keep()
+        self.keeper.close()
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -123,6 +123,8 @@
         counts = instance.pools.counts
         log(f"ends; connections to hosts: {counts}")
         admin.close()
+        if instance.keeping is not None:
+            instance.keeping.close()
         instance.overlap.leave()
         gateway.close()
         return 0
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -23,6 +23,12 @@
 from sagetrack.store.files import Disk
 from sagetrack.store.format import HEAD, LOG_MAGIC, NewerError, Op, frame, head
 from sagetrack.store.keeper import Keeper
+from sagetrack.store.recorder import EVENTS, Recorder, bound_us, read_second, step_of
+from sagetrack.config.checked import FileError
+from sagetrack.config.operator import load as load_operator
+from sagetrack.config.platform import ConfigError
+from sagetrack.lab.scripted import peer
+from tests.sockets import configuration, on_loop, request, running
 
 import msgspec
 
@@ -256,3 +262,47 @@
     none = command("verify", str(tmp_path / "none"))
     assert none.returncode == 2 and none.stderr.count("\n") == 1
     assert (folder / "strange.txt").read_text() == "not ours" and HEAD.size == 22
+
+
+def test_a_second_is_recorded_and_read_again() -> None:
+    recorder = Recorder(2)
+    for latency_us in (1, 64, 100, 5_000, 10**9):
+        assert bound_us(step_of(latency_us)) <= max(64, latency_us)
+    recorder.attempt(1, "ok", 5_000, True)
+    recorder.attempt(1, "reset", 9, False)
+    for n in range(EVENTS + 3):
+        recorder.event(f"breaker {n}")
+    value = recorder.second(7, [[1, 2], [0, 0], [0, 1], [1, 3]])
+    assert value is not None and recorder.second(8, [[1, 2], [0, 0], [0, 1], [1, 3]]) is None
+    made = read_second(value)
+    assert made.answered == [1, 2] and made.outcomes == {"ok": 1, "reset": 1} and made.lost == 3
+    assert made.latencies == [{}, {step_of(5_000): 1}] and len(made.events) == EVENTS
+    with pytest.raises(ValueError, match="version 9"):
+        read_second(msgspec.msgpack.encode(msgspec.structs.replace(made, version=9)))
+
+
+@on_loop
+async def test_a_gateway_that_starts_again_knows_its_servers_and_has_its_record(tmp_path: Path) -> None:
+    file = tmp_path / "operator.toml"
+    file.write_text(f'[store]\nfolder = "{tmp_path}/{{gateway}}"\nsync = "batch"\n')
+    async with peer() as host:
+        config = configuration(host)
+        async with running(config, load_operator(str(file))) as gateway:
+            for _ in range(8):
+                assert (await gateway.ask(request())).status == 200
+            before = {s.server: s.weight for s in gateway.gateway.balancer.sights()[0]}
+            assert gateway.instance.keeping is not None and before
+            with pytest.raises(ConfigError, match="another process has it"):
+                async with running(config, load_operator(str(file))):
+                    pass
+        async with running(config, load_operator(str(file))) as gateway:
+            heard = gateway.gateway.balancer.heard
+            assert {server for server, _ in heard} == set(before)
+            assert "svc_store_failing 0" in gateway.server.stats()
+            store = gateway.instance.keeping.keeper.store  # type: ignore[union-attr]
+            assert store is not None
+            rows = [read_second(op.value or b"") for op in store.snapshot().items("seconds")]
+        assert sum(sum(row.answered) for row in rows) == 8 and rows[0].outcomes["ok"] == 8
+    file.write_text("[store]\nmost_mb = 5.0\n")
+    with pytest.raises(FileError, match="store needs folder"):
+        load_operator(str(file))
