--- a/sagetrack/lab/real.py
+++ b/sagetrack/lab/real.py
@@ -234,6 +234,9 @@
         folder.mkdir(exist_ok=True)
         operator = self.dns.operator(gateway) if self.dns is not None else ""
         operator += door_operator(self.world.scenario)
+        if self.world.scenario.store.use:
+            sync = self.world.scenario.store.sync
+            operator += f'[store]\nfolder = "{folder / "store"}"\nsync = "{sync}"\n'
         listener = self.listeners.get(gateway)
         process = GatewayProcess(folder, self.config(gateway), listener, self.lives, operator)
         self.processes.setdefault(gateway, []).append(process)
--- a/sagetrack/lab/restart.py
+++ b/sagetrack/lab/restart.py
@@ -1,9 +1,9 @@
 """What a gateway's restart costs: its service in its first seconds, beside one that never died, by paired
 seeds.
 
-Each seed is played three times: the gateway never dies, it comes back without help, it comes back and asks
-the others. Counted are the requests whose first try went to the gateways that died, from when they were up
-again.
+Each seed is played four times: the gateway never dies, it comes back without help, it comes back and asks
+the others, it comes back with a store of its own. Counted are the requests whose first try went to the
+gateways that died, from when they were up again.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from sagetrack.lab.scenario import Scenario, altered
 
 FIRST_S = 10.0
-VARIANTS = ("never", "without", "with")
+VARIANTS = ("never", "without", "with", "store")
 Play = Callable[[Scenario, int], Records]
 
 
@@ -29,7 +29,7 @@
     seed: int
     service: dict[str, float]
     latency_ms: dict[str, float]
-    broken: int  # rules, in all three
+    broken: int  # rules, in all of them
 
 
 def variants(scenario: Scenario) -> dict[str, Scenario]:
@@ -37,12 +37,13 @@
     deaths = [n for n, trouble in enumerate(scenario.troubles, 1) if trouble.kind == "gateway-death"]
     if not deaths:
         raise ValueError(f"{scenario.name}: no gateway dies in it")
-    off = {"peers.use": False}
+    off = {"peers.use": False, "store.use": False}
     spared = {f"trouble.{n}.kind": "reload" for n in deaths}
     return {
         "never": altered(scenario, off | spared),
         "without": altered(scenario, off),
-        "with": altered(scenario, {"peers.use": True}),
+        "with": altered(scenario, off | {"peers.use": True}),
+        "store": altered(scenario, off | {"store.use": True}),
     }
 
 
@@ -71,7 +72,7 @@
 
 
 def pair(scenario: Scenario, seed: int, play: Play) -> Pair:
-    """One seed in its three variants."""
+    """One seed in its variants."""
     made = Pair(seed, {}, {}, 0)
     plays = variants(scenario)
     records = {name: play(variant, seed) for name, variant in plays.items()}
@@ -107,13 +108,11 @@
             f"{name:8} service {statistics.fmean(service):.4f} ({min(service):.4f} to {max(service):.4f}), "
             f"mean latency {latency:.0f} ms"
         )
-    lost = [one.service["never"] - one.service["without"] for one in made]
-    kept = [one.service["never"] - one.service["with"] for one in made]
-    spread = statistics.stdev(lost) if len(lost) > 1 else 0.0
-    spread_with = statistics.stdev(kept) if len(kept) > 1 else 0.0
-    lines.append(
-        f"lost without help {statistics.fmean(lost):+.4f} (sd {spread:.4f}), with help "
-        f"{statistics.fmean(kept):+.4f} (sd {spread_with:.4f}), over {len(made)} seeds; "
-        f"{sum(one.broken for one in made)} rules broken"
-    )
+    told = []
+    for what, name in (("without help", "without"), ("with help", "with"), ("with a store", "store")):
+        lost = [one.service["never"] - one.service[name] for one in made]
+        spread = statistics.stdev(lost) if len(lost) > 1 else 0.0
+        told.append(f"{what} {statistics.fmean(lost):+.4f} (sd {spread:.4f})")
+    broken = sum(one.broken for one in made)
+    lines.append(f"lost {', '.join(told)}, over {len(made)} seeds; {broken} rules broken")
     return lines
--- a/sagetrack/lab/scenario.py
+++ b/sagetrack/lab/scenario.py
@@ -158,6 +158,13 @@
     warm_start: bool = True
 
 
+class StoreUse(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A store on disk in each gateway, which a death leaves as it was."""
+
+    use: bool = False
+    sync: Literal["batch", "every", "never"] = "every"
+
+
 class Door(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Fair queues and limits in the gateways."""
 
@@ -227,6 +234,7 @@
     troubles: list[Trouble] = msgspec.field(name="trouble", default_factory=list)
     peers: Peers = msgspec.field(default_factory=Peers)
     door: Door = msgspec.field(default_factory=Door)
+    store: StoreUse = msgspec.field(default_factory=StoreUse)
     dns: DnsLoad = msgspec.field(default_factory=DnsLoad)
     expect: Expect = msgspec.field(default_factory=Expect)
 
--- a/sagetrack/lab/virtual.py
+++ b/sagetrack/lab/virtual.py
@@ -48,6 +48,7 @@
 from sagetrack.peers.membership import Membership, Settings
 from sagetrack.peers.warm import Asker, Teller, latencies_from
 
+KEPT_US = 1_000_000  # between two writes of what a gateway knows
 BASE_US = 1_000_000_000  # the gateways' clock at the run's begin: 0 would mean long ago
 IDLE_SHARE = 0.8  # of a server's idle time that a connection is kept unused for
 DRAIN_US = 30_000_000  # a run ends at the latest so long after its last arrival
@@ -425,6 +426,7 @@
         self.up: dict[int, VirtualGateway] = {}
         self.lists: dict[int, list[Listed]] = {}  # as each gateway last had it
         self.lives = 0
+        self.kept: dict[int, Learned] = {}  # by gateway: what is in its store
 
     def _start(self, number: int) -> None:
         self.lives += 1
@@ -432,6 +434,19 @@
         gateway = self.make(self, number, seed)
         self.up[number] = gateway
         gateway.handle(ServerList(ListKind.DISK, self._listed(number, self.lists[number])))
+        if self.world.scenario.store.use:
+            if number in self.kept:
+                gateway.handle(self.kept[number])
+            self.keep(gateway)
+
+    def keep(self, gateway: VirtualGateway) -> None:
+        """Once a second what a gateway knows goes into its store, as long as it lives."""
+        if gateway.dead:
+            return
+        sights, latencies = gateway.balancer.sights()
+        if sights:
+            self.kept[gateway.number] = Learned(tuple(sights), tuple(latencies))
+        self.clock.at(self.clock.now_us() + KEPT_US, lambda: self.keep(gateway))
 
     def _listed(self, gateway: int, entries: list[Listed]) -> tuple[ListedServer, ...]:
         return tuple(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -17,6 +17,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from sagetrack.decide.interface import Event, Learned
+from sagetrack.lab.judges import judge
+from sagetrack.lab.scenario import altered, load
+from sagetrack.lab.virtual import VirtualGateway, play
 from sagetrack.lab.storefaults import Crash, SimFiles
 from sagetrack.lab.torture import SMALL, Life, Tried, crash_once, kill_once, look, sample, state_of
 from sagetrack.store.engine import FullError, Options, Space, Store, StoreError
@@ -306,3 +310,23 @@
     file.write_text("[store]\nmost_mb = 5.0\n")
     with pytest.raises(FileError, match="store needs folder"):
         load_operator(str(file))
+
+
+def test_gateways_of_the_lab_take_up_what_they_kept_when_all_were_killed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nobody is left to ask: what they hear after the death is what they knew before."""
+    scenario = load(ROOT / "scenarios" / "all-killed.toml")
+    heard: dict[bool, int] = {True: 0, False: 0}
+    handle = VirtualGateway.handle
+
+    def watched(gateway: VirtualGateway, event: Event) -> None:
+        if isinstance(event, Learned):
+            heard[use] += len(event.sights)
+        handle(gateway, event)
+
+    monkeypatch.setattr(VirtualGateway, "handle", watched)
+    for use in heard:
+        played = altered(scenario, {"store.use": use, "seconds": 13.0})
+        assert not judge(play(played, 1), played)
+    assert heard[True] >= 12 and not heard[False]
