lab bodies: servers in four processes, so that the gateway is what is measured

Cause: with one process of servers the gateway took them for dead at 1,000 bodies of 1 MB, none ended whole.

Change: four processes, each answers once no more bodies have come for 3 s.

--- a/sagetrack/lab/bodies.py
+++ b/sagetrack/lab/bodies.py
@@ -1,8 +1,8 @@
 """Memory of the gateway while many calls with long bodies are under way to servers of the newer format.
 
-Clients of the older format send so many bodies at once; servers answer when all have come, each with as long
-a body, and the clients read slowly. The gateway is a process of its own, whose resident memory is looked at
-all the time.
+Clients of the older format send so many bodies at once; servers, in several processes, answer when no more
+have come for a while, each with as long a body, and the clients read slowly. The gateway is a process of its
+own, whose resident memory is looked at all the time.
 """
 
 from __future__ import annotations
@@ -38,6 +38,8 @@
     b"X-Caller: acme\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
 )
 WAIT_S = 300.0
+QUIET_S = 3.0  # without a further body: all have come
+PROCESSES = 4  # of servers: one alone is slower than the gateway, which takes it for dead
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,18 +99,25 @@
                 asked.over = True
 
 
-def _serve(ports: int, streams: int, size: int, pipe: Any) -> None:
+def _serve(ports: int, size: int, pipe: Any) -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
         held: list[tuple[_Sink, Asked]] = []
+        due: asyncio.TimerHandle | None = None
 
         def take(connection: NewConnection, asked: Asked) -> None:
+            nonlocal due
             assert isinstance(connection, _Sink)
             held.append((connection, asked))
-            if len(held) == streams:
-                pipe.send("all")
-                for one, its in held:
-                    one.answer_long(its, size)
+            if due is not None:
+                due.cancel()
+            due = loop.call_later(QUIET_S, answer)
+
+        def answer() -> None:
+            pipe.send("all")
+            for one, its in held:
+                one.answer_long(its, size)
+            held.clear()
 
         found = []
         for _ in range(ports):
@@ -150,11 +159,15 @@
     size = body_kb * 1000
     context = multiprocessing.get_context("fork")
     here, there = context.Pipe()
-    count = max(8, -(-streams // 2))  # a server holds no more than a few calls
-    servers = context.Process(target=_serve, args=(count, streams, size, there), daemon=True)
-    servers.start()
+    count = max(8, -(-streams // 2)) // PROCESSES  # a server holds no more than a few calls
+    make = context.Process
+    servers = [make(target=_serve, args=(count, size, there), daemon=True) for _ in range(PROCESSES)]
     try:
-        ports, discovery = here.recv()
+        ports, discovery = [], 0
+        for process in servers:  # one at a time: they share the pipe
+            process.start()
+            found, discovery = here.recv()
+            ports += found
         with tempfile.TemporaryDirectory(prefix="sagetrack-lab-") as folder:
             port, file, operator = free_port(), Path(folder) / "config.json", Path(folder) / "operator.toml"
             made = configuration(port, ports, discovery, free_port(), "newer")
@@ -168,16 +181,17 @@
                 "TMPDIR": folder,
             }  # fmt: skip
             command = [sys.executable, "-m", "sagetrack"]
-            process = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
+            gateway = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
             try:
-                return uvloop.run(_play(process.pid, port, streams, size, here, progress))
+                return uvloop.run(_play(gateway.pid, port, streams, size, here, progress))
             finally:
-                process.kill()
-                process.wait()
+                gateway.kill()
+                gateway.wait()
     finally:
-        if servers.pid is not None:
-            os.kill(servers.pid, signal.SIGKILL)
-        servers.join()
+        for process in servers:
+            if process.pid is not None:
+                os.kill(process.pid, signal.SIGKILL)
+                process.join()
 
 
 async def _up(port: int) -> None:
