A gateway starts without its store where another process has it or the disk fails

What was known was read while the store's thread could already compact, and a way out waited for a disk that stands still.

Change: it serves without and tries again every 5 s, saying so once; what is known is read before the thread begins; the way out waits 2 s for the disk; a copy's id can be no client's.

--- a/sagetrack/h2/shadow.py
+++ b/sagetrack/h2/shadow.py
@@ -23,7 +23,7 @@
     b"date", b"server", b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"via", b"age",
 })  # fmt: skip
 TOLD_US = 60_000_000  # between two lines in the log on one difference
-PREFIX = "shadow-"
+PREFIX = "shadow\n"  # no header, and so no client's id, can be that
 
 
 def difference(one: Reply, other: Reply, ignored: frozenset[bytes] = PASSING) -> str | None:
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -135,7 +135,7 @@
         self.gateway.metrics.more.append(front.figures)
 
     def start_store(self) -> None:
-        """Open the store, where the operator has one; ConfigError if that cannot be."""
+        """Open the store, where the operator has one."""
         if self.operator is not None and self.operator.store.folder:
             from sagetrack.ops.keeping import Keeping
 
--- a/sagetrack/ops/keeping.py
+++ b/sagetrack/ops/keeping.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from sagetrack.config.platform import Config, ConfigError
+from sagetrack.config.platform import Config
 from sagetrack.core.clock import now_us
 from sagetrack.core.gateway import Gateway
 from sagetrack.core.log import log
@@ -33,7 +33,7 @@
     """The store of one gateway and what goes into it. Made on a running loop."""
 
     def __init__(self, config: Config, operator: Operator, gateway: Gateway) -> None:
-        """ConfigError, one plain line, if the store can't be opened."""
+        """A store that cannot be opened, as the process before has it or its disk fails, is tried again."""
         asked = operator.store
         self.config, self.asked, self.gateway = config, asked, gateway
         spaces = {SECONDS: Space(int(asked.keep_hours * 3_600_000), droppable=True)}
@@ -43,12 +43,14 @@
             partial(Disk, folder), options, lambda line: log(line, "warning"), asked.sync, asked.every_s
         )
         loop = asyncio.get_running_loop()
+        self.note: Note | None = None
         try:
-            found = self.keeper.start(loop)
+            for line in self.keeper.open().aside:
+                log(f"the store: {line}", "warning")
+            self.note = self.read()  # before the thread has the store
         except StoreError as error:
-            raise ConfigError(f"store.folder {folder}: {error}") from None
-        for line in found.aside:
-            log(f"the store: {line}", "warning")
+            self.keeper.fail(f"store.folder {folder}: {error}")
+        self.keeper.start(loop)
         gateway.metrics.more.append(self.keeper.figures)
         self.recorder: Recorder | None = None
         if asked.recorder:
@@ -56,18 +58,22 @@
         self.loop = loop
         self.timer = loop.call_later(1.0, self.second)
 
-    def take(self) -> None:
-        """Once there is a list: begin with what was known before. Its age tells how much is believed."""
+    def read(self) -> Note | None:
+        """What was known before."""
         store = self.keeper.store
         if not self.asked.knowledge or store is None:
-            return
+            return None
         try:
             value = store.get(KNOWN, self.config.name.encode())
-            if value is None:
-                return
-            note: Note = msgspec.msgpack.decode(value, type=Note)
+            return None if value is None else msgspec.msgpack.decode(value, type=Note)
         except (OSError, FormatError, msgspec.DecodeError) as error:
             log(f"what was known of servers cannot be read: {error}", "warning")
+            return None
+
+    def take(self) -> None:
+        """Once there is a list: begin with what was known before. Its age tells how much is believed."""
+        note = self.note
+        if note is None:
             return
         now = now_us()
         sights = tuple(sight for sight in note.sights if sight.seen_us <= now + FUTURE_US)
--- a/sagetrack/store/keeper.py
+++ b/sagetrack/store/keeper.py
@@ -22,6 +22,7 @@
 STEP_S = 0.002  # of compaction at once: the loop gets the interpreter in between
 REST = 2.0  # times as long as a step takes the thread rests after it
 AGAIN_S = 5.0  # after a failure
+LEAVE_S = 2.0  # that a way out waits for the disk
 WAITING_BYTES = 4 * 1024 * 1024  # that wait for the disk
 
 
@@ -42,7 +43,7 @@
 
 
 class Keeper:
-    """One store and its thread. `start` reads it and `close` ends it; between them `put` never waits."""
+    """One store and its thread. `open` reads it, `start` and `close` bound when `put` may be called."""
 
     def __init__(
         self, make: Callable[[], Files], options: Options, log: Callable[[str], None], sync: Sync = "every",
@@ -61,15 +62,14 @@
         self.synced_s = 0.0
         self.retry_s = 0.0
 
-    def start(self, loop: asyncio.AbstractEventLoop | None = None) -> Opened:
-        """Open the store, here and now. StoreError with one plain line if that cannot be."""
+    def start(self, loop: asyncio.AbstractEventLoop | None = None) -> None:
+        """Begin to keep; a store that is not open yet is tried again every few seconds."""
         self.loop = loop
-        found = self.open()
         self.thread = threading.Thread(target=self.run, name="store", daemon=True)
         self.thread.start()
-        return found
 
     def open(self) -> Opened:
+        """Open the store, here and now, before `start`. StoreError with one plain line if that cannot be."""
         files: Files | None = None
         try:
             files = self.make()
@@ -229,12 +229,12 @@
         time.sleep(min(0.05, REST * (time.monotonic() - began)))
 
     def close(self) -> None:
-        """Keep what waits, and end. Waits for the disk."""
+        """Keep what waits, and end. Waits for the disk, but not for one that stands still."""
         with self.lock:
             self.ending = True
             self.lock.notify()
         if self.thread is not None:
-            self.thread.join()
+            self.thread.join(LEAVE_S)
             self.thread = None
 
     def figures(self) -> dict[str, float]:
