One ending for commands that look for what is wrong; leftovers of the store gone

Cause: reading the change again: four commands ended with the same lines, the store counted bytes that nobody read and removed a file that the next call replaces.

Change: one function for that ending; the count and the removal are gone.

--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -36,6 +36,13 @@
     return typer.Exit(2)
 
 
+def judged(wrong: list[str]) -> typer.Exit:
+    """Print the first of what was wrong; exit 1 if anything was."""
+    for line in wrong[:SHOWN]:
+        print(line)
+    return typer.Exit(1 if wrong else 0)
+
+
 def value_of(text: str) -> Any:
     """A value as TOML writes it; anything else is a text."""
     import tomllib
@@ -520,9 +527,7 @@
         f"{found.failed} {'given up by clients' if front else 'attempts failed'}, "
         f"{found.closed} connections closed, {len(found.wrong)} wrong, slowest {found.slowest_ms:.2f} ms"
     )
-    for line in found.wrong[:SHOWN]:
-        print(line)
-    raise typer.Exit(1 if found.wrong else 0)
+    raise judged(found.wrong)
 
 
 @app.command("fuzz-dns")
@@ -542,9 +547,7 @@
         f"{found.messages} messages: {found.queries_read} read as queries, "
         f"{found.answers_taken} taken as answers, {len(found.wrong)} wrong, slowest {found.slowest_ms:.2f} ms"
     )
-    for line in found.wrong[:SHOWN]:
-        print(line)
-    raise typer.Exit(1 if found.wrong else 0)
+    raise judged(found.wrong)
 
 
 @app.command("restart")
--- a/sagetrack/cli/store.py
+++ b/sagetrack/cli/store.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from sagetrack.cli.lab import INTERRUPTED, SHOWN, bar, fail
+from sagetrack.cli.lab import INTERRUPTED, bar, fail, judged
 
 if TYPE_CHECKING:
     from sagetrack.store.engine import Opened, Store
@@ -56,9 +56,7 @@
             f"{folder}: batch {found.seq} is the last; {values} values of {size} bytes in {store.bytes} "
             f"bytes; {len(found.aside)} parts damaged, {found.lost_bytes} bytes"
         )
-        for line in found.aside[:SHOWN]:
-            print(line)
-        raise typer.Exit(1 if found.aside else 0)
+        raise judged(found.aside)
 
 
 @app.command("dump")
@@ -125,6 +123,4 @@
         f"{found.crashes} crashes with {found.errors} errors of the disk, {found.kills} writers killed after "
         f"{found.acknowledged} batches: {len(found.wrong)} wrong"
     )
-    for line in found.wrong[:SHOWN]:
-        print(line)
-    raise typer.Exit(1 if found.wrong else 0)
+    raise judged(found.wrong)
--- a/sagetrack/store/engine.py
+++ b/sagetrack/store/engine.py
@@ -127,7 +127,6 @@
         self.seq = 0
         self.durable = 0  # all up to here lasts
         self.unsynced: list[tuple[int, bytes]] = []
-        self.unsynced_bytes = 0
         self.current: Log | None = None  # being written
         self.last = 0  # the highest number of a log that there ever was
         self.bytes = 0  # of all files
@@ -413,7 +412,6 @@
                 self.tail[op.space, op.key] = (log.name, at, index, log.version)
                 self._count(op.space, op.at_ms, len(op.value or b""))
             at += len(made)
-        self.unsynced_bytes += len(data)
         self.bytes += len(data)
         log.size = at
         return self.seq
@@ -450,8 +448,7 @@
                 self._distrust()
                 raise
             self.unsynced.clear()
-            self.unsynced_bytes = 0
-        self.durable = self.seq
+            self.durable = self.seq
         return self.durable
 
     def _distrust(self) -> None:
@@ -593,8 +590,6 @@
         logs = [log for log in self.logs if log.first > keep]
         bases = [base.seq] + ([self.base.seq] if self.base is not None else [])
         data = manifest(bases, min((log.number for log in logs), default=0))
-        if "MANIFEST.new" in self.files.names():
-            self.files.remove("MANIFEST.new")
         self.files.create("MANIFEST.new")
         self.files.append("MANIFEST.new", data)
         self.files.sync("MANIFEST.new")
