A silent watch is noticed, and the list asked for anew, within the grace for sending

Cause, confirmed by the sum and by a probe (a registry on loopback that goes silent, below): roster/discovery.py let a watch wait 20 s and gave its answer 8 s more, while what it misses counts as told 2 s after the wait is over, at 22 s: word came at 28 s, 4 s after the grace had ended. Also there: a connect could take 8 s and the pause after a failure 5 s (pushed), while what the agent has at discovery's return counts at once; a process served from the list of before its start until its first watch had an answer; an answer to a call for the whole list that a watch's had overtaken took a withdrawal back; a watch put off after a failure began although it had been called off. Ruled out: the module (it sends nothing to a server that its list says drains) and the reading of lists (what comes is taken in the same turn).

After a failure of a pushed list the whole list is asked for. At the start clients are let in once the first call has ended, for which a quarter of the grace is waited at the most. An answer of an older version than the last is taken only when it is said twice.

--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -76,11 +76,14 @@
         self.drainer: asyncio.TimerHandle | None = None
         pools.room = self.make_room
 
-    def start(self, listener: socket.socket, roster: Roster) -> None:
-        """Take clients from this socket, which listens, and servers from this roster."""
+    def prepare(self, roster: Roster) -> None:
+        """Have servers from this roster: nobody is let in before there is a list of them."""
         self.gateway.share(1 + self.overlap.others)
+        self.gateway.start(roster)
+
+    def start(self, listener: socket.socket) -> None:
+        """Take clients from this socket, which listens."""
         self.listener = listener
-        self.gateway.start(roster)  # nobody is let in before there is a list of hosts to serve from
         loop = asyncio.get_running_loop()
         loop.add_reader(self.listener.fileno(), self.accept)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -9,6 +9,7 @@
 from sagetrack.config.platform import Config, ConfigError, parse_address
 from sagetrack.core.calls import Entry
 from sagetrack.core.clock import now_us
+from sagetrack.core.deadlines import watching
 from sagetrack.decide.interface import ListKind, Shares
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
@@ -82,7 +83,8 @@
             self.gateway.metrics.more.append(self.keys.figures)
         self.keeping: Keeping | None = None
         on_list = self.on_http if self.split is None else self.on_list
-        self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery)
+        limits = watching(config.settings)
+        self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery, limits)
 
     async def start(self) -> None:
         """Begin to take clients; OSError or ConfigError if the listening socket cannot be had."""
@@ -93,7 +95,9 @@
         self.start_store()
         descriptor = config.accept_fd
         listener: socket.socket = bind(config.listen) if descriptor is None else inherit(descriptor)
-        self.server.start(listener, self.discovery)
+        self.server.prepare(self.discovery)
+        await self.discovery.has_asked()
+        self.server.start(listener)
         if self.keeping is not None:
             self.keeping.take()
         self.join_peers()
--- a/sagetrack/roster/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -6,18 +6,17 @@
 import json
 import random
 from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
 from typing import Any, Protocol
 
 from sagetrack.decide.interface import ListedServer, ListKind, ServerStatus
 
 from sagetrack.config.platform import Address, Names, parse_address, stable_id
 from sagetrack.core.calls import Entry, OnList, Reply
+from sagetrack.core.deadlines import Watching
 from sagetrack.core.log import log
 
 LIST = b"/registry/instances"
-HOLD_MS = 20_000  # how long a watch may wait for news
-CALL_TIMEOUT_S = 8.0  # for an answer beyond that wait
-FIRST_RETRY_S, LAST_RETRY_S = 0.2, 5.0  # between calls where the module does not ask itself
 STATUSES = {
     "SERVING": ServerStatus.READY,
     "DRAINING": ServerStatus.DRAINING,
@@ -101,13 +100,19 @@
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
     def __init__(
-        self, address: Address, names: Names, on_list: OnList, pushed: bool, connect: Connect
-    ) -> None:
+        self, address: Address, names: Names, on_list: OnList, pushed: bool, connect: Connect,
+        limits: Watching,
+    ) -> None:  # fmt: skip
         self.names, self.on_list, self.connect = names, on_list, connect
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
-        self.failures = 0
+        self.limits = limits
+        self.failed = True  # no list has come since the last failure
+        self.went_back = False  # the last answer was of an older version than ours
+        self.again: asyncio.TimerHandle | None = None  # the next watch, after a failure
+        self.first = asyncio.Event()  # the first call has ended, well or not
         self.closed = False
-        self.index: int | None = None
+        self.index: int | None = None  # the version that a watch goes on from; None: the whole list is needed
+        self.newest: int | None = None  # the last version taken, of this address
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
         self.address = address
@@ -139,17 +144,27 @@
                 log(f"the list known from before cannot be used: {error!r}")
         self.on_list(ListKind.DISK, entries)
         if self.pushed:
+            self.index = None  # what the agent has counts from our first moment on: all of it comes first
             self.watch(True)
 
+    async def has_asked(self) -> None:
+        """Wait until the first call has ended, or for as long as that may keep clients waiting."""
+        if self.limits.first_s > 0.0:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.limits.first_s):
+                    await self.first.wait()
+
     def watch(self, on: bool) -> None:
         """Begin to watch, or stop; a watch that is on goes on as it is."""
         if self.closed:
             return
+        if self.again is not None:
+            self.again.cancel()
         if not on and self.watching is not None:
             self.watching.cancel()
             self.watching = None
         elif on and self.watching is None:
-            self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch()))
+            self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch))
 
     def move(self, address: Address) -> None:
         """Ask at another address from now on; nothing that the old one may still say is heard.
@@ -160,7 +175,8 @@
             return
         fetching = self.fetching is not None
         self._cancel()
-        self.address, self.index, self.failures = address, None, 0
+        self.address, self.index, self.failed = address, None, True
+        self.newest, self.went_back = None, False
         self.watch(True)
         if fetching:
             self.fetch()
@@ -168,34 +184,40 @@
     def fetch(self) -> None:
         """Ask for the whole list once."""
         if self.fetching is None and not self.closed:
-            self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch()))
+            self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch))
 
     def close(self) -> None:
         self.closed = True
         self._cancel()
 
     def _cancel(self) -> None:
+        if self.again is not None:
+            self.again.cancel()
         for task in (self.watching, self.fetching):
             if task is not None:
                 task.cancel()
         self.watching = self.fetching = None
 
-    async def _guard(self, call: Coroutine[Any, Any, None]) -> None:
+    async def _guard(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Turn a failure of a call into word of it; the module decides when to ask again."""
         try:
-            await call
+            await call()
         except Exception as error:
             # Whatever it is: a call that ends without a word would never be made again.
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
-            log(f"discovery: {error or type(error).__name__}")
+            late = isinstance(error, TimeoutError)
+            log(f"discovery: {'no answer in time' if late else error or type(error).__name__}")
+            self.failed = True
             self.on_list(ListKind.ERROR, [])
             if self.pushed:
-                wait_s = min(FIRST_RETRY_S * 2**self.failures, LAST_RETRY_S) * random.uniform(0.5, 1.0)
-                self.failures += 1
-                asyncio.get_running_loop().call_later(wait_s, self.watch, True)
+                # The whole list next, which costs nothing here: whatever was missed, it is in there.
+                self.index = None
+                wait_s = self.limits.pause_s * random.uniform(0.5, 1.0)
+                self.again = asyncio.get_running_loop().call_later(wait_s, self.watch, True)
         finally:
             self._forget(asyncio.current_task())
+            self.first.set()
 
     def _forget(self, task: asyncio.Task[Any] | None) -> None:
         if self.watching is task:
@@ -204,12 +226,12 @@
             self.fetching = None
 
     async def _connect(self) -> Line:
-        async with asyncio.timeout(CALL_TIMEOUT_S):
+        async with asyncio.timeout(self.limits.connect_s):
             return await self.connect(self.address)
 
     async def _ask(self, call: Line, target: bytes, wait_s: float) -> None:
         head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (target, self.address[0].encode(), self.address[1])
-        async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+        async with asyncio.timeout(wait_s + self.limits.answer_s):
             reply = await call.ask(head)
         if reply.status != 200:
             raise CallError(f"answered {reply.status}")
@@ -217,11 +239,29 @@
             call.close()
         raw = json.loads(reply.body)
         index, whole, entries = parse_list(raw, self.names)
-        changed = whole or index != self.index
-        self.index, self.failures = index, 0
+        self._check_version(index, whole)
+        changed = whole or bool(entries) or index != self.index
+        self.index, self.newest = index, index
         if changed:
             self.note(raw, whole)
-        self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
+        if changed or self.failed:  # a watch that ends with no news is word only after a failure
+            self.failed = False
+            self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
+        self.first.set()
+
+    def _check_version(self, index: int, whole: bool) -> None:
+        """CallError for an answer older than what is known here already, unless that is said twice.
+
+        Once it may be an answer that another call's has overtaken, and would take back a withdrawal; a
+        service that has begun to count anew says it again. Changes since an older version are never taken.
+        """
+        if self.newest is None or index >= self.newest:
+            self.went_back = False
+            return
+        again, self.went_back = self.went_back, True
+        if not (again and whole):
+            known, self.index = self.newest, None
+            raise CallError(f"answered with version {index}, which is older than {known}")
 
     async def _fetch(self) -> None:
         call = await self._connect()
@@ -239,7 +279,8 @@
                 if self.index is None:
                     await self._ask(call, LIST, 0.0)
                 else:
-                    target = LIST + b"?from=%d&hold_ms=%d" % (self.index, HOLD_MS)
-                    await self._ask(call, target, HOLD_MS / 1000)
+                    hold_s = self.limits.hold_s
+                    target = LIST + b"?from=%d&hold_ms=%d" % (self.index, round(hold_s * 1000))
+                    await self._ask(call, target, hold_s)
         finally:
             call.close()
