The last moment before the first byte: is the call owed an answer, may the server get it

- A call that nobody waits for was sent: Balancer.call_off cancels only where the settings allow it, and Pools.on_connected wrote what was begun without asking.
Gateway.finish now withdraws what its server has nothing of, for every class and setting, and the back asks the call's owner and the server's again when a connection is up (http, h2, dns over TCP).
- A client's leaving was not heard while nothing is read from it (more sent than is read ahead): uvloop does not look at a connection that is paused.
A connection that came up within the grace after word of a drain carried its request, though the word may have counted as told for the whole grace; one that was opened to an earlier address or life of the server as well.
Nothing is begun from the word on; what waits goes elsewhere as never begun, which a long body may too.
The module now hears when the last answer is due (Leaving), 0.2 s before a kill; the process stays until all is on the wire.
A connection for which there was no room was reset with the listener; a request not whole after 1 s was cut off without a word, now 503.

Ruled out by reading: an attempt is `written` only once the kernel has its last byte (the transport's high-water mark is 0, so that uvloop writes at once or pauses; a failed single write took nothing); ids used again while an attempt of theirs is out.

--- a/sagetrack/core/drain.py
+++ b/sagetrack/core/drain.py
@@ -11,7 +11,7 @@
 
 LONGEST_S = 3.0  # a longer deadline is counted as this when a process is made to leave
 SPARE_S = 0.7  # what the platform allows on top of that
-MARGIN_S = 0.1  # kept of it for the exit itself
+MARGIN_S = 0.2  # kept of it for the last answers to go out, and for the exit itself
 LEAVE_QUIET_S = 0.5  # after SIGTERM: until then a connection is closed only with word of it in an answer
 LEAVE_ACCEPT_S = 0.7  # after SIGTERM: new connections go on coming for 0.4 s
 STANDBY_QUIET_S = 1.2  # the same after `standby`: what is idle still then is hardly in use
@@ -73,7 +73,10 @@
         """
         return now_s - self.since_s < LEAVE_UNFINISHED_S
 
+    def is_past_words(self, now_s: float) -> bool:
+        return self.phase is Phase.LEAVING and now_s >= self.words_s
+
     @property
-    def end_s(self) -> float:
-        """When a process that leaves has to be gone: what is unanswered then is killed."""
+    def words_s(self) -> float:
+        """When a process that leaves gives up what is unanswered: a little later it may be killed."""
         return self.since_s + min(self.longest_deadline_s, LONGEST_S) + SPARE_S - MARGIN_S
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -23,6 +23,7 @@
     Event,
     Fail,
     FetchList,
+    Leaving,
     ListKind,
     LoadReport,
     Log,
@@ -74,6 +75,10 @@
 class Watcher(Protocol):
     """Who is told what becomes of an attempt: it ends once, with `on_end`."""
 
+    def is_owed(self) -> bool:
+        """Whether its call still waits for an answer: asked at the last moment before anything is sent."""
+        ...
+
     def on_written(self) -> None:
         """Its last byte is on its way."""
         ...
@@ -111,6 +116,10 @@
 
     def cancel(self, attempt: Any) -> None: ...
 
+    def withdraw(self, attempt: Any) -> None:
+        """End an attempt of which its server has nothing yet: as it never ran, every class allows that."""
+        ...
+
     def close_idle(self, server: int) -> None: ...
 
     def probe(self, server: int, told: Callable[[Outcome, int, LoadReport | None], None]) -> None:
@@ -303,6 +312,19 @@
             if attempt is not None:
                 self.back.cancel(attempt)  # what goes through it has lost one of its ends
 
+    def leave_by(self, wait_s: float) -> None:
+        """Answer everything within this time, what comes until then too: the process may be killed after."""
+        end_us = now_us() + int(wait_s * 1e6)
+        self.post(lambda: Leaving(end_us))
+        self.loop.call_later(wait_s + 0.001, self.give_up)  # the loop rounds: not before
+
+    def give_up(self) -> None:
+        """Wait for no answer any longer; the module decides what its client is told."""
+        for held in list(self.held.values()):
+            for attempt in held.attempts if not held.closed and held.stream is None else ():
+                if attempt is not None:
+                    self.back.cancel(attempt)
+
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
         self.post(lambda: self.take_list(kind, entries))
 
@@ -373,6 +395,10 @@
         held.closed = True
         if held.out == 0:
             del self.held[id_]
+            return
+        for attempt in held.attempts:
+            if attempt is not None:
+                self.back.withdraw(attempt)
 
     def send(self, action: Send) -> None:
         id_ = action.request
@@ -469,6 +495,9 @@
     def __init__(self, gateway: Gateway, held: Held, number: int) -> None:
         self.gateway, self.held, self.number = gateway, held, number
 
+    def is_owed(self) -> bool:
+        return not self.held.closed
+
     def on_written(self) -> None:
         call = self.held.call
         self.gateway.metrics.sends.add(call.klass)
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -17,8 +17,8 @@
 from sagetrack.decide.door import PROMISED_WORTH, Door, Why
 from sagetrack.decide.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Demands, Effect, Event, Fail, Fellows, Learned,
-    ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList,
-    ServerStatus, SetTimer, Settings, Shares, Sharing, StreamStarted, TimerFired, Turns,
+    Leaving, ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send,
+    ServerList, ServerStatus, SetTimer, Settings, Shares, Sharing, StreamStarted, TimerFired, Turns,
     WatchList,
 )
 from sagetrack.decide.knowledge import (
@@ -87,7 +87,9 @@
 LOG_GAP_US = 100_000  # between two log lines
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
 CLASS_TELLS = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT})  # of the class's part
+NEVER_BEGUN = frozenset({Outcome.CONNECT_FAILED, Outcome.MOOT})
 MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
+NEVER_US = 2**62
 LIST_TOKEN = 0  # the timer that belongs to no request
 
 
@@ -264,6 +266,7 @@
         self.settings = settings
         self.random = random.Random(seed)
         self.now_us = 0
+        self.ends_us = NEVER_US  # when the last answer is due, on the way out
         self.actions: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.ranked: list[Server] = []  # the same by rank: the subset is the first of them that may be used
@@ -320,6 +323,8 @@
             self.processes = max(1, event.processes)
         elif isinstance(event, Learned):
             self.on_learned(event)
+        elif isinstance(event, Leaving):
+            self.on_leaving(event)
         elif isinstance(event, Shares) and self.door is not None:
             self.door.set_shares(event.shares)
         elif isinstance(event, Demands) and self.door is not None:
@@ -370,7 +375,7 @@
                 self.asked = [n / 2 for n in self.asked]
                 self.served = [n / 2 for n in self.served]
         return Request(
-            event.request, event.klass, event.key, self.now_us + event.patience_us,
+            event.request, event.klass, event.key, min(self.now_us + event.patience_us, self.ends_us),
             self.now_us + max(0, klass.aim_us - used_us), size, first_try, self.excess(event.tenant),
             uploading=event.uploading, once=event.uploading or event.only >= 0, client=event.client,
             member=self.door.member(event.tenant) if self.door is not None else 0, tenant=event.tenant,
@@ -661,6 +666,14 @@
         if request is not None and not request.done:
             self.finish(request)
 
+    def on_leaving(self, event: Leaving) -> None:
+        """Nobody waits past the end; the proxy itself ends the attempts that are out then."""
+        self.ends_us = event.at_us
+        for request in self.requests.values():
+            request.deadline_us = min(request.deadline_us, self.ends_us)
+            if request.out == 0 and not request.done:
+                self.set_timer(self.ends_us, request)
+
     def on_stream(self, event: StreamStarted) -> None:
         request = self.requests.get(event.request)
         if request is None or request.done or not 0 <= event.attempt < len(request.attempts):
@@ -715,7 +728,7 @@
 
     def try_send(self, request: Request) -> bool:
         """Send an attempt, if a server may take one now."""
-        server = self.pick(request)
+        server = self.pick(request) if self.now_us < self.ends_us else None
         if server is None:
             return False
         klass = self.settings.classes[request.klass]
@@ -800,7 +813,7 @@
         paid = self.retry_tokens >= cost and not shed
         allowed = not ran or (klass.effect is not Effect.UNSAFE and paid)
         room = len(request.attempts) < self.settings.max_attempts
-        whole = not request.once or outcome is Outcome.CONNECT_FAILED  # all of its body may still be sent
+        whole = not request.once or outcome in NEVER_BEGUN  # all of its body may still be sent
         if allowed and time_left and room and whole and self.try_send(request):
             self.retry_tokens -= cost * ran
         else:
--- a/sagetrack/decide/interface.py
+++ b/sagetrack/decide/interface.py
@@ -303,6 +303,13 @@
     processes: int
 
 
+@dataclass(slots=True, frozen=True)
+class Leaving:
+    """This proxy ends soon: whoever waits, or comes until then, has an answer by that time."""
+
+    at_us: int
+
+
 @dataclass(slots=True, frozen=True)
 class Learned:
     """What other proxies, or this one before it was restarted, have seen."""
@@ -346,6 +353,7 @@
 
 Event = (
     Learned
+    | Leaving
     | Shares
     | Turns
     | Demands
--- a/sagetrack/dns/back.py
+++ b/sagetrack/dns/back.py
@@ -176,7 +176,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         while self.early:
-            self.write(self.early.popleft())
+            attempt = self.early.popleft()
+            if attempt.watcher.is_owed() and self.upstream.drained_us is None:
+                self.write(attempt)
+            else:
+                self.pool.end(attempt, Outcome.CANCELLED)  # it has run over UDP
 
     def send(self, attempt: Attempt) -> None:
         attempt.at = self
@@ -313,9 +317,8 @@
             return None
         now = now_us()
         attempt = Attempt(upstream, call.message, watcher, now)
-        grace_us = self.settings.stop_sending_within_us
-        if upstream.drained_us is not None and now - upstream.drained_us > grace_us:
-            self.end(attempt, Outcome.CONNECT_FAILED)
+        if upstream.drained_us is not None or not watcher.is_owed():
+            self.end(attempt, Outcome.MOOT)  # see http/back
             return attempt
         attempt.timer = self.loop.call_later(wait_us / 1e6, self.on_timeout, attempt)
         try:
@@ -371,6 +374,10 @@
     def cancel(self, attempt: Attempt) -> None:
         self.end(attempt, Outcome.CANCELLED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        if isinstance(attempt.at, TcpLine) and attempt in attempt.at.early:
+            self.end(attempt, Outcome.CANCELLED)  # it has run over UDP
+
     def end(self, attempt: Attempt, outcome: Outcome, answer: Answer | None = None) -> None:
         if attempt.ended:
             return
--- a/sagetrack/h2/back.py
+++ b/sagetrack/h2/back.py
@@ -176,9 +176,9 @@
             self.flush()
 
     def begin(self, attempt: NewAttempt) -> None:
-        """Open its stream, unless the drain's grace has passed while the connection came up."""
-        if not self.pool.may_send(self.host):
-            self.pool.end(attempt, Outcome.CONNECT_FAILED)
+        """Open its stream, unless nobody waits or the server may get no more since the connection came up."""
+        if self.leaving or not self.pool.may_begin(attempt):
+            self.pool.end(attempt, Outcome.MOOT)
             return
         try:
             stream = self.h2.get_next_available_stream_id()
@@ -545,9 +545,9 @@
     def probe(self, server: int, told: Callable[[Outcome, int, LoadReport | None], None]) -> None:
         """Servers of the newer format are never probed."""
 
-    def may_send(self, host: NewHost) -> bool:
-        grace_us = self.settings.stop_sending_within_us
-        return host.drained_us is None or now_us() - host.drained_us <= grace_us
+    def may_begin(self, attempt: NewAttempt) -> bool:
+        """From the word on that its server drains or is gone nothing is begun: see http/back."""
+        return attempt.watcher.is_owed() and attempt.host.drained_us is None
 
     # Attempts
 
@@ -568,8 +568,8 @@
             self.end(attempt, Outcome.MOOT)
             return attempt
         attempt = NewAttempt(host, call, watcher, now, headers, deque([pack(first)]), moved_us=now)
-        if not self.may_send(host):
-            self.end(attempt, Outcome.CONNECT_FAILED)
+        if not self.may_begin(attempt):
+            self.end(attempt, Outcome.MOOT)
             return attempt
         later = self.loop.call_later
         if upload is None or upload.ended:
@@ -620,6 +620,10 @@
             attempt.line.reset(attempt)
         self.end(attempt, Outcome.CANCELLED)
 
+    def withdraw(self, attempt: NewAttempt) -> None:
+        if not attempt.begun:
+            self.end(attempt, Outcome.MOOT)
+
     def end(self, attempt: NewAttempt, outcome: Outcome, reply: Reply | None = None) -> None:
         if attempt.ended:
             return
--- a/sagetrack/h2/fuzz.py
+++ b/sagetrack/h2/fuzz.py
@@ -57,6 +57,9 @@
     def __init__(self) -> None:
         self.ends: list[tuple[Outcome, Any]] = []
 
+    def is_owed(self) -> bool:
+        return True
+
     def on_written(self) -> None:
         """Of no concern here."""
 
--- a/sagetrack/h2/mixed.py
+++ b/sagetrack/h2/mixed.py
@@ -27,6 +27,9 @@
         self.watcher, self.mixed, self.newer, self.call = watcher, mixed, newer, call
         self.streams = False
 
+    def is_owed(self) -> bool:
+        return self.watcher.is_owed()
+
     def on_written(self) -> None:
         self.watcher.on_written()
 
@@ -130,6 +133,9 @@
     def cancel(self, attempt: Any) -> None:
         (self.new if isinstance(attempt, NewAttempt) else self.old).cancel(attempt)
 
+    def withdraw(self, attempt: Any) -> None:
+        (self.new if isinstance(attempt, NewAttempt) else self.old).withdraw(attempt)
+
     def close_idle(self, server: int) -> None:
         (self.new if self.speaks_new(server) else self.old).close_idle(server)
 
--- a/sagetrack/http/back.py
+++ b/sagetrack/http/back.py
@@ -13,6 +13,7 @@
 
 from sagetrack.core.bodies import STALL_S, Upload, nothing
 from sagetrack.core.clock import now_us
+from sagetrack.core.deadlines import REST_S
 from sagetrack.config.platform import Address
 from sagetrack.core.calls import Entry, Reply
 from sagetrack.core.gateway import Call, Watcher
@@ -27,6 +28,14 @@
 PROBE_TIMEOUT_US = 250_000
 
 
+Life = tuple[Address, int]  # where a host listens and when it started
+
+
+def always() -> bool:
+    """Nobody can lose interest."""
+    return True
+
+
 @dataclass(slots=True, eq=False)
 class Host:
     """One host as this gateway reaches it."""
@@ -39,6 +48,10 @@
     idle: list[HostConnection] = field(default_factory=list)  # the most recently used last
     open: int = 0  # connections up or coming up
 
+    @property
+    def life(self) -> Life:
+        return self.address, self.started_us
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -47,6 +60,7 @@
     host: Host
     payload: bytes
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
+    is_owed: Callable[[], bool] = always  # its call still waits for an answer
     on_written: Callable[[], None] = nothing  # its last byte is with the kernel
     on_begun: Callable[[Attempt, Reply, HostConnection], None] | None = None  # the answer passes through
     on_piece: Callable[[bytes], None] = lambda data: None
@@ -88,13 +102,15 @@
     """One connection to a host; it carries one attempt at a time."""
 
     __slots__ = (
-        "address", "attempt", "body_written", "counted", "flushed", "holding", "host", "idle_since_us",
-        "paused", "poll", "pools", "replies", "transport",
+        "attempt", "begun", "body_written", "counted", "flushed", "holding", "host", "idle_since_us", "life",
+        "parked", "paused", "poll", "pools", "replies", "transport",
     )  # fmt: skip
 
     def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
         self.pools, self.host, self.attempt = pools, host, attempt
-        self.address = host.address
+        self.life = host.life  # the one that it leads to
+        self.begun = False  # something of the attempt may have gone out
+        self.parked: Attempt | None = None  # the next one, until the connection has rested
         self.transport: asyncio.Transport | None = None
         self.replies = ReplyReader(passes=True)
         self.holding: asyncio.TimerHandle | None = None  # until an answer of unknown length passes through
@@ -268,7 +284,7 @@
             # Guards against writing to a connection of its earlier life: a machine that went silent may not
             # have ended it, and what is written there ends as a reset.
             host.address, host.started_us = entry.address, listed.started_us
-            self.close_idle(host.id)
+            self.let_go_of_idle(host)
         if listed.status is ServerStatus.READY:
             host.drained_us = None
         else:
@@ -277,7 +293,7 @@
     def drain(self, host: Host) -> None:
         if host.drained_us is None:
             host.drained_us = now_us()
-        self.close_idle(host.id)
+        self.let_go_of_idle(host)
 
     def remove(self, id_: int) -> None:
         """Forget a host that is gone; what is out there still ends as it will."""
@@ -287,7 +303,11 @@
 
     def close_idle(self, id_: int) -> None:
         host = self.hosts.get(id_)
-        while host is not None and host.idle:
+        if host is not None:
+            self.let_go_of_idle(host)
+
+    def let_go_of_idle(self, host: Host) -> None:
+        while host.idle:
             host.idle.pop().close()
 
     # Attempts
@@ -303,7 +323,9 @@
         def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
             watcher.on_end(attempt, outcome, reply, load_of(reply))
 
-        attempt = Attempt(host, payload, on_end, watcher.on_written, watcher.on_begun, upload=call.upload)
+        attempt = Attempt(
+            host, payload, on_end, watcher.is_owed, watcher.on_written, watcher.on_begun, upload=call.upload
+        )
         attempt.on_piece = lambda data: watcher.on_piece(attempt, data)
         self.send(attempt, wait_us)
         return attempt
@@ -335,18 +357,26 @@
         if upload is not None:
             attempt.moved_us = now_us()
             self.moving.add(attempt)
-        if not self.may_send(attempt.host):
-            self.end(attempt, Outcome.CONNECT_FAILED)
+        self.place(attempt)
+
+    def place(self, attempt: Attempt) -> None:
+        """Put an attempt on a kept connection, now or once it has rested, or on a new one."""
+        host = attempt.host
+        if not self.may_begin(attempt, host.life):
+            self.end(attempt, Outcome.MOOT)
             return
-        while (connection := self.take(attempt.host)) is not None:
+        while (connection := self.take(host)) is not None:
             if self.put_on(connection, attempt):
                 self.counts.reused += 1
                 return
             # The write itself failed: nothing has reached the host, so the same attempt may begin anew.
             self.counts.stale += 1
+        if host.idle:
+            self.park(attempt, host.idle.pop(0))
+            return
         self.room()
-        host, connect_us = attempt.host, self.settings.connect_timeout_us
-        attempt.timers.append(later(connect_us / 1e6, self.on_connect_timeout, attempt))
+        connect_us = self.settings.connect_timeout_us
+        attempt.timers.append(self.loop.call_later(connect_us / 1e6, self.on_connect_timeout, attempt))
         connection = HostConnection(self, host, attempt)
         attempt.connection = connection
         connection.counted = True
@@ -359,24 +389,60 @@
         attempt.opening = opening
         opening.add_done_callback(lambda task: self.on_opened(task, connection))
 
-    def may_send(self, host: Host) -> bool:
-        """Guards the drain rule: nothing starts after the grace, however long a connection took."""
-        grace_us = self.settings.stop_sending_within_us
-        return host.drained_us is None or now_us() - host.drained_us <= grace_us
+    def may_begin(self, attempt: Attempt, life: Life) -> bool:
+        """Whether the first byte may go out now, to the host as it was: asked again once a connection is up.
+
+        Of a host that drains or is gone nothing is begun from the word on, not from the end of its grace on:
+        the word may have counted as told that long before it came.
+        """
+        host = attempt.host
+        return attempt.is_owed() and host.drained_us is None and host.life == life
 
     def take(self, host: Host) -> HostConnection | None:
-        """The most recently used free connection: those at the bottom of the stack age and are closed."""
-        oldest_us = now_us() - int(self.settings.keepalive_us * IDLE_SHARE)
-        while host.idle:
-            connection = host.idle.pop()
+        """The most recently used free connection that has rested: those at the bottom age and are closed."""
+        now = now_us()
+        oldest_us = now - int(self.settings.keepalive_us * IDLE_SHARE)
+        rested_us = now - int(REST_S * 1e6)
+        at = len(host.idle)
+        while at > 0:
+            at -= 1
+            if host.idle[at].idle_since_us > rested_us:
+                continue
+            connection = host.idle.pop(at)
             if connection.idle_since_us >= oldest_us and connection.is_fresh():
                 return connection
             self.counts.stale += 1
             connection.close()
         return None
 
+    def park(self, attempt: Attempt, connection: HostConnection) -> None:
+        """Let an attempt wait until a connection has rested, which is shorter than a handshake elsewhere.
+
+        Guards against taking for an answer what belongs to the request before: a second answer or noise that
+        comes a moment after the first shows while nothing else is out there, and ends the connection.
+        """
+        attempt.connection, connection.parked = connection, attempt
+        wait_s = REST_S - (now_us() - connection.idle_since_us) / 1e6
+        attempt.timers.append(self.loop.call_later(wait_s, self.on_rested, connection))
+
+    def on_rested(self, connection: HostConnection) -> None:
+        attempt, connection.parked = connection.parked, None
+        if attempt is None or attempt.ended:
+            return
+        attempt.connection = None
+        if not self.may_begin(attempt, connection.life):
+            connection.close()
+            self.end(attempt, Outcome.MOOT)
+        elif connection.is_fresh() and self.put_on(connection, attempt):
+            self.counts.reused += 1
+        else:
+            self.counts.stale += 1
+            connection.close()
+            self.place(attempt)
+
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
         connection.attempt, attempt.connection = attempt, connection
+        connection.begun = True
         if connection.write(attempt.payload):
             connection.carry(attempt)
             return True
@@ -393,9 +459,14 @@
         if opening is not None and not opening.done():
             opening.cancel()
         if connection is not None:
-            connection.attempt = None
+            connection.attempt = connection.parked = None
             connection.close()
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give up what waits for its connection."""
+        if attempt.connection is None or not attempt.connection.begun:
+            self.cancel(attempt, Outcome.MOOT)
+
     def end(self, attempt: Attempt, outcome: Outcome, reply: Reply | None = None) -> None:
         if attempt.ended:
             return
@@ -450,10 +521,12 @@
             # Given up in the very turn in which it came up: its opening is cancelled, which closes it next.
             connection.attempt = None
             connection.close()
-        elif not self.may_send(connection.host) or not self.put_on(connection, attempt):
+            return
+        may = self.may_begin(attempt, connection.life)
+        if not may or not self.put_on(connection, attempt):
             connection.attempt = None
             connection.close()
-            self.end(attempt, Outcome.CONNECT_FAILED)
+            self.end(attempt, Outcome.CONNECT_FAILED if may else Outcome.MOOT)
 
     def on_opened(self, opening: asyncio.Task[object], connection: HostConnection) -> None:
         """Account for a connection that did not come up, or was cancelled in the turn in which it did.
@@ -487,6 +560,10 @@
     def on_lost(self, connection: HostConnection) -> None:
         self.count_closed(connection)
         attempt, connection.attempt = connection.attempt, None
+        parked, connection.parked = connection.parked, None
+        if parked is not None and not parked.ended:
+            parked.connection = None
+            self.place(parked)
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
         connection.stop_holding()
@@ -501,10 +578,11 @@
 
     def keep(self, connection: HostConnection) -> None:
         host = connection.host
-        if host.drained_us is not None or connection.address != host.address:
+        if host.drained_us is not None or connection.life != host.life:
             connection.close()
             return
         connection.idle_since_us = now_us()
+        connection.begun = False
         host.idle.append(connection)
 
     def sweep(self) -> None:
@@ -532,7 +610,7 @@
     def close(self) -> None:
         self.sweeper.cancel()
         for host in self.hosts.values():
-            self.close_idle(host.id)
+            self.let_go_of_idle(host)
 
 
 def outcome_of(reply: Reply) -> Outcome:
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -49,6 +49,7 @@
     501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
     505: b"HTTP Version Not Supported",
 }  # fmt: skip
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 Phase = dict["ClientConnection", float]  # since when each is in it, the longest first
 
 
@@ -63,6 +64,7 @@
         self.bodies: Phase = {}
         self.kept: Phase = {}
         self.ending: Phase = {}
+        self.paused: set[ClientConnection] = set()  # nothing is read on them for now
         self.accepting: set[asyncio.Task[object]] = set()
         self.allowance = Allowance(config.memory_mb)
         self.buffer = memoryview(bytearray(READ_SIZE))  # of all connections: what is read is copied at once
@@ -95,28 +97,34 @@
 
     # Connections in
 
-    def accept(self, most: int = ACCEPT_AT_ONCE) -> None:
-        """Take what waits, a few in a turn, so that a crowd is met by giving up others, not by an error."""
+    def accept(self, most: int = ACCEPT_AT_ONCE) -> bool:
+        """Take what waits, a few in a turn, so that a crowd is met by giving up others, not by an error.
+
+        True if nothing waits any more.
+        """
         loop = asyncio.get_running_loop()
         for _ in range(most):
             if self.listener is None:
-                return
+                return True
             if not self.prepare_room():
                 # What has been accepted is read first: some of it will be able to yield, or be answered.
                 loop.remove_reader(self.listener.fileno())
                 loop.call_later(ACCEPT_AGAIN_S, self.accept_on)
-                return
+                return False
             try:
                 accepted, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionError):
+                return False
             except OSError as error:
                 log(f"cannot accept: {error.strerror}")
                 self.give_up_client(0.0)
-                return
+                return False
             task: asyncio.Task[object] = loop.create_task(self.take(accepted))
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
+        return False
 
     def accept_on(self) -> None:
         if self.listener is not None:
@@ -199,6 +207,8 @@
                     break
                 if connection.is_idle():
                     connection.close()
+        for connection in list(self.paused):
+            connection.heed_end()
         for connection, since_s in list(self.reading.items()):
             if now_s - since_s >= READING_S:
                 connection.give_up_reading()
@@ -231,9 +241,14 @@
         return self.drain.active(asyncio.get_running_loop().time())
 
     async def leave(self) -> None:
-        """The way out: every request that was taken, or waits to be accepted, is answered first."""
+        """The way out: every request that was taken, or waits to be accepted, is answered first.
+
+        It takes as long as that does. What is still unanswered shortly before the process may be killed is
+        given up then, in words.
+        """
         loop = asyncio.get_running_loop()
         self.drain.leave(loop.time())
+        self.gateway.leave_by(self.drain.words_s - loop.time())
         self.overlap.look()
         if self.overlap.serving:
             self.stop_listening()  # another process takes what waits and what comes
@@ -243,15 +258,14 @@
                 self.stop_listening()
             if self.listener is None and not self.drain.awaits_unfinished(loop.time()):
                 for connection in list(self.connections):
-                    if connection.may_yield():
-                        connection.close()
+                    connection.turn_away()
             await asyncio.sleep(POLL_S)
 
     def stop_listening(self) -> None:
         """Close our descriptor; a shared socket goes on, and what waits there is another's if one serves."""
         if self.listener is not None:
-            if not self.overlap.serving:
-                self.accept(BACKLOG)
+            if not self.overlap.serving and not self.accept(BACKLOG):
+                return  # there is no room for one that waits, until others have had their answers
             asyncio.get_running_loop().remove_reader(self.listener.fileno())
             self.listener.close()
             self.listener = None
@@ -267,7 +281,10 @@
 
     def close(self) -> None:
         """Give up everything at once."""
-        self.stop_listening()
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener.fileno())
+            self.listener.close()
+            self.listener = None
         for timer in (self.sweeper, self.drainer):
             if timer is not None:
                 timer.cancel()
@@ -306,13 +323,14 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.opened_s = asyncio.get_running_loop().time()
         self.server.connections.add(self)
         self.enter(self.server.silent, self.opened_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.discard(self)
+        self.server.paused.discard(self)
         self.enter(None)
         self.deaf = True
         self.reader.done.clear()
@@ -370,6 +388,23 @@
         # What has reached this machine may be the end of a request.
         return self.current is None and not self.reader.done and not self.deaf and not self.poll.poll(0)
 
+    def heed_end(self) -> None:
+        """Hear that the client has gone while nothing is read here, where the loop does not look."""
+        if any(event & GONE for _, event in self.poll.poll(0)):
+            self.abort()
+
+    def turn_away(self) -> None:
+        """On the way out: refuse in words a request that has begun and is not whole by now.
+
+        A close without a word could cross its last byte, with which it is owed an answer.
+        """
+        if not self.may_yield():
+            return
+        if self.phase is self.server.reading or self.phase is self.server.bodies:
+            self.give_up_reading(RequestError(503, "this gateway is leaving: ask again"))
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close once what was written is with the client, and within bounds."""
         self.deaf = True
@@ -421,10 +456,12 @@
             if self.paused_s is None:
                 self.paused_s = asyncio.get_running_loop().time()
                 self.transport.pause_reading()
+                self.server.paused.add(self)
         elif self.paused_s is not None:
             if self in self.server.bodies:  # the pause was not the client's
                 self.server.bodies[self] += asyncio.get_running_loop().time() - self.paused_s
             self.paused_s = None
+            self.server.paused.discard(self)
             self.transport.resume_reading()
         self.invite()
 
@@ -470,9 +507,9 @@
         if self.paused_s is None and now_s - since_s > BODY_GRACE_S + self.reader.received / BODY_RATE:
             self.give_up_reading()
 
-    def give_up_reading(self) -> None:
+    def give_up_reading(self, fault: RequestError | None = None) -> None:
         """The rest of a request has not come in time."""
-        self.reader.break_off(RequestError(408, "the request did not come in time"))
+        self.reader.break_off(fault or RequestError(408, "the request did not come in time"))
         self.heed_fault()
         self.take_next()
 
@@ -482,6 +519,8 @@
         """Take the next request that was read, once the one before is answered."""
         if self.current is not None or self.stuck or self.transport is None or self.deaf:
             return
+        if self.paused_s is not None:
+            self.heed_end()
         if not self.reader.done and self.reader.rest:
             self.read(b"")
         if not self.reader.done or self.deaf or self.swallowing is not None:
@@ -556,9 +595,12 @@
         """Whether the connection ends with the answer to this request."""
         if request.upload is not None and not request.upload.ended:
             return True  # its body is not whole yet, and nobody waits for the rest
-        # What was read is answered, on the way out too.
+        # What was read is answered, on the way out too, but not without end.
         more = bool(self.reader.done) or self.reader.has_begun
-        return not request.keep_alive or (self.server.drain.is_on and not more)
+        drain = self.server.drain
+        if drain.is_on and more and drain.is_past_words(asyncio.get_running_loop().time()):
+            more = False
+        return not request.keep_alive or (drain.is_on and not more)
 
     def go_on(self, request: Request, last: bool) -> None:
         """After an answer: the next request, or the end."""
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -66,6 +66,7 @@
 
     from sagetrack.ops.admin import Admin
     from sagetrack.config.platform import Address
+    from sagetrack.core.drain import MARGIN_S
     from sagetrack.core.log import log
     from sagetrack.ops.instance import Instance
     from sagetrack.ops.reload import Reloader
@@ -107,19 +108,17 @@
         await stop.wait()
         instance.leave_peers()
         leaving = loop.create_task(server.leave())
-        dns_leaving = loop.create_task(instance.dns.front.leave(loop.time() + 2.0)) if instance.dns else None
+        await asyncio.sleep(0)  # the way out has begun, and it knows when the last answers are due
+        until_s = server.drain.words_s + MARGIN_S / 2
+        dns_leaving = loop.create_task(instance.dns.front.leave(until_s)) if instance.dns else None
         front = instance.new_front
-        new_leaving = loop.create_task(front.leave(loop.time() + 2.5)) if front is not None else None
-        await asyncio.sleep(0)  # the way out has begun, and it knows when it ends
-        try:
-            async with asyncio.timeout_at(server.drain.end_s):
-                await leaving
-                if dns_leaving is not None:
-                    await dns_leaving
-                if new_leaving is not None:
-                    await new_leaving
-        except TimeoutError:
-            log(f"ended with {len(gateway.held)} requests unanswered")
+        new_leaving = loop.create_task(front.leave(until_s)) if front is not None else None
+        # However long it takes: what is unanswered at an end by the clock would be lost.
+        await leaving
+        if dns_leaving is not None:
+            await dns_leaving
+        if new_leaving is not None:
+            await new_leaving
         counts = instance.pools.counts
         log(f"ends; connections to hosts: {counts}")
         admin.close()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -27,6 +27,7 @@
     peer,
     reply,
     request,
+    rested,
     running,
     until,
 )
@@ -121,6 +122,7 @@
             client.send(request())
             status, headers, body = await read_answer(client)
             assert (status, body) == (200, LONG) and "x-trailer" not in headers
+            await rested(run)
         assert host.opened == 1 and run.gateway.metrics.answered.by_class[0] == 3
         assert not run.gateway.held and not run.gateway.balancer.requests and not run.instance.pools.moving
         client.close()
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -20,6 +20,7 @@
     peer,
     reply,
     request,
+    rested,
     running,
     silent,
     until,
@@ -238,6 +239,7 @@
     async with peer(answers(data)) as host, running(configuration(host)) as run:
         for _ in range(2):
             assert (await run.ask(request())).body == b"abc"
+            await rested(run)
         assert host.opened == 1
 
 
