No attempt waits for a rest at a server that answers sooner than the rest lasts

Change: the wait is for servers whose last answer on that connection took at least twice the rest (20 ms: with the wait it is at most 1.5 times as long, under the factor 2 that counts as slow); elsewhere one more connection is opened. A test forces each case; the tests of crossings, interleavings and pools are green.

--- a/sagetrack/http/back.py
+++ b/sagetrack/http/back.py
@@ -107,7 +107,7 @@
 
     __slots__ = (
         "attempt", "begun", "body_written", "counted", "flushed", "holding", "host", "idle_since_us", "life",
-        "parked", "paused", "poll", "pools", "replies", "transport",
+        "parked", "paused", "poll", "pools", "replies", "took_us", "transport",
     )  # fmt: skip
 
     def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
@@ -122,6 +122,7 @@
         self.body_written = True  # no more of the request is to be written
         self.flushed = True  # the last byte of what was written is with the kernel
         self.idle_since_us = 0
+        self.took_us = 0  # its last answer
         self.counted = False
         self.poll = select.poll()
 
@@ -376,7 +377,9 @@
             # The write itself failed: nothing has reached the host, so the same attempt may begin anew.
             self.counts.stale += 1
         now = now_us()
-        if host.idle and now - host.parked_us > PARK_GAP_US:
+        seldom = now - host.parked_us > PARK_GAP_US
+        # Of a server that answers in less than the rest takes, the wait would count as slowness and silence.
+        if host.idle and seldom and host.idle[0].took_us >= 2 * REST_S * 1e6:
             host.parked_us = now
             self.park(attempt, host.idle.pop(0))
             return
@@ -550,6 +553,7 @@
         outcome = outcome_of(reply)
         if outcome is Outcome.OK and not attempt.written:
             outcome = Outcome.ERROR  # it can't be the answer to what has not come to its end
+        connection.took_us = now_us() - attempt.sent_us
         if reply.keep_alive and attempt.written and connection.flushed:
             connection.resume()
             self.keep(connection)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -240,6 +240,7 @@
         host.seen[0].answer(reply(200, b"one"))
         assert (await client.answer()).body == b"one"
         (kept,) = run.instance.pools.hosts[host_id(0)].idle
+        kept.took_us = 120_000_000
         client.send(request())
         await until(lambda: len(host.seen) == 2 or kept.parked)
         host.seen[0].answer(reply(200, b"one"))
@@ -260,6 +261,20 @@
         for opened in (1, 1, 2):
             assert (await client.ask(request())).status == 200
             assert host.opened == opened
+            for kept in run.instance.pools.hosts[host_id(0)].idle:
+                kept.took_us = 1_000_000
+        client.close()
+
+
+@on_loop
+async def test_no_request_waits_for_a_rest_of_a_server_that_answers_sooner_than_that() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        for opened in (1, 2):
+            assert (await client.ask(request())).status == 200
+            for kept in run.instance.pools.hosts[host_id(0)].idle:
+                kept.took_us, kept.idle_since_us = 1_000, now_us() + 10_000_000
+            assert host.opened == opened
         client.close()
 
 
@@ -277,7 +292,7 @@
         assert (await client.ask(request())).status == 200
         (kept,) = run.instance.pools.hosts[host_id(0)].idle
         monkeypatch.setattr("sagetrack.http.back.REST_S", 0.5)
-        kept.idle_since_us = now_us()
+        kept.idle_since_us, kept.took_us = now_us(), 1_000_000
         client.send(request("transfer"))
         await until(lambda: kept.parked)
         tell(run, ListKind.DELTA, endpoint("s-1", other.address))
