--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sagetrack.roster.discovery import parse_list
 from sagetrack.decide.balance import LIST_TOKEN
 from sagetrack.decide.interface import (
     FetchList, ListKind, ServerList, ServerStatus, TimerFired, WatchList,
@@ -21,6 +22,7 @@
     configuration,
     endpoint,
     host_id,
+    hosts_list,
     list_reply,
     on_loop,
     peer,
@@ -312,3 +314,21 @@
     ):
         assert asked_for.is_set() and is_draining(run)
         assert (await run.ask(request())).status == 503 and not host.seen
+
+
+@on_loop
+async def test_a_server_is_withdrawn_whatever_else_of_its_entry_can_be_read() -> None:
+    """A change that takes a server back counts, though the entry would be no use for sending there."""
+    withdrawals: tuple[dict[str, object], ...] = (
+        {"status": "DRAINING", "weight": 0.0},
+        {"status": "DRAINING", "weight": None},
+        {"status": "DELETED", "address": None},
+        {"status": "DELETED", "address": "", "since_ms": "x"},
+        {"status": "PAUSED"},  # a status that is not known here is no word that it serves
+    )
+    for entry in withdrawals:
+        async with peer() as host, running(configuration(host)) as run:
+            changes = hosts_list(8, endpoint("s-0", host.address) | entry, snapshot=False)
+            run.gateway.on_list(ListKind.DELTA, parse_list(changes, run.instance.config.names)[2])
+            assert (await run.ask(request("transfer", b"x"))).status == 503, entry
+            assert not host.seen
