--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from _pytest.terminal import TerminalReporter
 
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST = 3  # known failures at a time
@@ -38,6 +39,6 @@
             item.add_marker(pytest.mark.xfail(reason=cause, strict=True))
 
 
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
     for test, cause in known_failures().items():
         terminalreporter.write_line(f"known failure: {test}: {cause}")
