One place permits sending, repeating, closing and starting; told deadlines are what is left

Ruled out: the parked wait of 5 ms, and timers (they ran from the choice). Change: core/permission.py decides what may be sent, repeated, closed or started, from facts that are stated at the moment of the act; a wrong choice of the module is not sent and counted (svc_violations_total), what has crossed since is counted by its reason (svc_withheld_total). The bytes are made with the first byte, and time counts from the read of the last byte (HTTP/1.1 and the newer format). A call that nobody answers is answered here when its time is over; an event that fails holds up none. Attempts by outcome, refusals by reason, and a bounded trace of what is out of the ordinary; core/interfaces.py was part of core/gateway.py. test_the_figures_are_true still pins every figure, the new ones by their own values.

--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -9,9 +9,9 @@
 import asyncio
 import traceback
 from collections import deque
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any
 
 from sagetrack.decide.balance import Balancer
 from sagetrack.decide.interface import (
@@ -24,6 +24,7 @@
     Fail,
     FetchList,
     Leaving,
+    ListedServer,
     ListKind,
     LoadReport,
     Log,
@@ -44,135 +45,17 @@
     WatchList,
 )
 
-from sagetrack.core.bodies import Upload
 from sagetrack.core.clock import now_us
 from sagetrack.core.calls import Entry, Roster
+from sagetrack.core.interfaces import Answer, Attempt, Back, Call, Recorder, Source
 from sagetrack.core.log import log
-from sagetrack.core.metrics import Counter, Metrics
+from sagetrack.core.metrics import Counter, Metrics, Reasons
+from sagetrack.core.permission import Denial, Sending, ServerState, may_repeat, may_send
+from sagetrack.core.trace import Step, Trace
+from sagetrack.core.violations import Rule, Violations
 
-
-Answer = Any  # of a protocol: from its back to its front
-
-
-class Source(Protocol):
-    """Where an answer that passes through comes from."""
-
-    def pause(self) -> None: ...
-
-    def resume(self) -> None: ...
-
-
-class Attempt(Protocol):
-    """One sending of a call to one server, as its protocol's back has it."""
-
-    @property
-    def server(self) -> int: ...
-
-    @property
-    def latency_us(self) -> int: ...
-
-
-class Watcher(Protocol):
-    """Who is told what becomes of an attempt: it ends once, with `on_end`."""
-
-    def is_owed(self) -> bool:
-        """Whether its call still waits for an answer: asked at the last moment before anything is sent."""
-        ...
-
-    def on_written(self) -> None:
-        """Its last byte is on its way."""
-        ...
-
-    def on_begun(self, attempt: Attempt, head: Answer, source: Source) -> None:
-        """Its answer is too long to be held, and passes through from here on."""
-        ...
-
-    def on_piece(self, attempt: Attempt, data: bytes) -> None: ...
-
-    def on_end(
-        self, attempt: Attempt, outcome: Outcome, answer: Answer | None, load: LoadReport | None
-    ) -> None: ...
-
-
-class Back(Protocol):
-    """A protocol's servers: what is listed, and attempts at them."""
-
-    def put(self, entry: Entry) -> None:
-        """Learn of a server, of its new address, that it has started anew, or that it drains."""
-        ...
-
-    def remove(self, server: int) -> None: ...
-
-    @property
-    def listed(self) -> Collection[int]: ...
-
-    def lives(self) -> dict[int, int]:
-        """When each listed server started."""
-        ...
-
-    def begin(self, call: Call, server: int, wait_us: int, watcher: Watcher) -> Attempt | None:
-        """Send a call to a server and wait for so long; None if that cannot be begun at all."""
-        ...
-
-    def cancel(self, attempt: Any) -> None: ...
-
-    def withdraw(self, attempt: Any) -> None:
-        """End an attempt of which its server has nothing yet: as it never ran, every class allows that."""
-        ...
-
-    def close_idle(self, server: int) -> None: ...
-
-    def probe(self, server: int, told: Callable[[Outcome, int, LoadReport | None], None]) -> None:
-        """Ask a server for its load, where the settings allow it."""
-        ...
-
-    def close(self) -> None: ...
-
-
-class Client(Protocol):
-    """Who waits for the final answer of a request; it gets just one of these.
-
-    An answer that is too long to be held begins with `on_begun`, goes on with `on_piece` and ends with
-    `on_ended` or `on_broken`.
-    """
-
-    def on_served(self, call: Call, answer: Any) -> None: ...
-
-    def on_begun(self, call: Call, head: Any, source: Source) -> None: ...
-
-    def on_piece(self, call: Call, data: bytes) -> None: ...
-
-    def on_ended(self, call: Call, answer: Any) -> None: ...
-
-    def on_broken(self, call: Call) -> None: ...
-
-    def on_refused(self, call: Call, retry_after_us: int) -> None: ...
-
-    def on_failed(self, call: Call, timed_out: bool) -> None: ...
-
-
-def stays() -> bool:
-    """Nobody can hang up."""
-    return False
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A client's request, as the gateway takes it. What it says is its protocol's own."""
-
-    id: str
-    klass: int
-    patience_us: int
-    key: int | None
-    work_us: int | None
-    is_retry: bool
-    tenant: int
-    message: Any  # for the back of its protocol
-    client: Client
-    upload: Upload | None = None  # the body, if it is too long to be held
-    who: int = 0  # the client within its tenant, where it is known
-    only: int = -1  # a copy, to compare answers: see RequestArrived
-    has_gone: Callable[[], bool] = stays  # its client has hung up, whether or not the loop has seen it
+WATCH_S = 0.15  # between looks for calls whose time is over
+LATE_US = 50_000  # past its time, a call is looked at once more before it is answered here
 
 
 @dataclass(slots=True, eq=False)
@@ -182,10 +65,20 @@
     call: Call
     deadline_us: int
     attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
+    sendings: list[Sending] = field(default_factory=list)  # the same, as far as repeats depend on them
     out: int = 0
     stream: Attempt | None = None  # the one whose answer the client is getting
     closed: bool = False
     timed_out: bool = False
+    overdue: bool = False  # was found unanswered past its time
+
+    def left_us(self, now_us: int) -> int:
+        """What is left of its client's time, which counts from its last byte."""
+        upload = self.call.upload
+        if upload is None:
+            return self.deadline_us - now_us
+        since_us = upload.ended_us if upload.ended else now_us
+        return since_us + self.call.patience_us - now_us
 
     @property
     def is_current(self) -> bool:
@@ -193,14 +86,6 @@
         return not self.closed and self.call.only < 0 and (self.call.upload is None or self.call.upload.ended)
 
 
-class Recorder(Protocol):
-    """Keeps a record of what happens, where the operator has a store."""
-
-    def attempt(self, klass: int, outcome: str, latency_us: int, good: bool) -> None: ...
-
-    def event(self, line: str) -> None: ...
-
-
 def changes(entries: Sequence[Entry]) -> str:
     """What a list says, in few words: how many servers by status, and those that leave by name."""
     by: dict[str, int] = {}
@@ -234,17 +119,27 @@
         self.closed = False
         self.known = known
         self.recorder: Recorder | None = None
+        self.places: dict[int, ListedServer] = {}  # the servers that are listed
+        self.trace = Trace()
+        self.violations = Violations(self.trace)
+        self.withheld = Reasons("withheld_total", "reason", (denial.value for denial in Denial))
+        self.ended = Reasons("attempts_total", "outcome", (outcome.value for outcome in Outcome))
+        self.unserved = Reasons("refused_total", "reason", ())
+        self.watcher: asyncio.TimerHandle | None = None
         gauges = {
             "current": lambda: sum(held.is_current for held in self.held.values()),
             "cluster_size": lambda: len(self.back.listed),
             "cluster_unhealthy": lambda: self.balancer.avoided(),
         }
         self.metrics = Metrics(classes, gauges)
+        for counts in (self.violations, self.withheld, self.ended, self.unserved):
+            self.metrics.more.append(counts.figures)
 
     def start(self, roster: Roster) -> None:
         """Begin with the list from before, and ask for a newer one when the module says so."""
         self.roster = roster
         roster.take_known(self.known)
+        self.watcher = self.loop.call_later(WATCH_S, self.answer_overdue)
 
     def share(self, processes: int) -> None:
         """So many processes are this gateway now."""
@@ -261,6 +156,8 @@
 
     def close(self) -> None:
         self.closed = True
+        if self.watcher is not None:
+            self.watcher.cancel()
         if self.roster is not None:
             self.roster.close()
         self.back.close()
@@ -275,34 +172,44 @@
         self.handling = True
         try:
             while self.events and not self.closed:
-                happened = self.events.popleft()()
+                happened = self.worded(self.events.popleft())
                 if happened is not None:
                     self.handle(happened)
         finally:
             self.handling = False
 
+    def worded(self, event: Callable[[], Event | None]) -> Event | None:
+        """Guards the events that wait behind one that cannot be put into words: they would wait for good."""
+        try:
+            return event()
+        except Exception:
+            self.violations.note(Rule.HANDLING, "event", traceback.format_exc())
+            return None
+
     def handle(self, event: Event) -> None:
         try:
             actions = self.balancer.handle(now_us(), event)
         except Exception:
             # Guards against one bad decision ending the process and all that it holds.
-            log(f"the module failed at {event!r}\n{traceback.format_exc()}")
+            self.violations.note(Rule.HANDLING, "module", f"{event!r}\n{traceback.format_exc()}")
             actions = [Fail(event.request)] if isinstance(event, RequestArrived | AttemptEnded) else []
         for action in actions:
             try:
                 self.carry_out(action)
             except Exception:
                 # Guards the client whose event is being handled: an error here would end its connection.
-                log(f"failed at {action!r}\n{traceback.format_exc()}")
+                self.violations.note(Rule.HANDLING, "action", f"{action!r}\n{traceback.format_exc()}")
 
     def arrive(self, call: Call) -> bool:
         """Take a request; False if one with its id is held already."""
         if call.id in self.held:
             return False
-        self.held[call.id] = Held(call, now_us() + call.patience_us)
+        now = now_us()
+        waited_us = max(0, now - call.received_us) if call.received_us else 0
+        self.held[call.id] = Held(call, now + call.patience_us - waited_us)
         event = RequestArrived(
             call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant,
-            call.upload is not None, call.who, call.only,
+            call.upload is not None, call.who, call.only, waited_us,
         )  # fmt: skip
         self.post(lambda: event)
         return True
@@ -312,6 +219,7 @@
         held = self.held.get(id_)
         if held is None or held.closed:
             return
+        self.trace.note(Step.CLIENT_LEFT, id_)
         self.finish(id_, held)
         self.post(lambda: RequestGone(id_))
         for attempt in held.attempts if held.stream is not None or held.call.upload is not None else ():
@@ -331,6 +239,23 @@
                 if attempt is not None:
                     self.back.cancel(attempt)
 
+    def answer_overdue(self) -> None:
+        """Answer calls whose time is over, whoever has failed to: none is left without an answer.
+
+        Each is looked at twice, as after a time in which this process was held up its timers are due too.
+        """
+        self.watcher = self.loop.call_later(WATCH_S, self.answer_overdue)
+        now = now_us()
+        for id_, held in list(self.held.items()):
+            if held.closed or held.stream is not None or held.left_us(now) > -LATE_US:
+                continue
+            if not held.overdue:
+                held.overdue = True
+                continue
+            self.violations.note(Rule.UNANSWERED, id_, f"{-held.left_us(now) / 1000:.0f} ms past its time")
+            self.carry_out(Fail(id_))
+            self.post(lambda id_=id_: RequestGone(id_))  # type: ignore[misc]
+
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
         self.post(lambda: self.take_list(kind, entries))
 
@@ -339,11 +264,16 @@
             named = {entry.listed.server for entry in entries}
             for server in [server for server in self.back.listed if server not in named]:
                 self.back.remove(server)
+                self.places.pop(server, None)
         for entry in entries:
             if entry.listed.status is ServerStatus.GONE:
                 self.back.remove(entry.listed.server)
+                self.places.pop(entry.listed.server, None)
             else:
                 self.back.put(entry)
+                self.places[entry.listed.server] = entry.listed
+        if any(entry.listed.status is not ServerStatus.READY for entry in entries):
+            self.trace.note(Step.STATE, "list", changes(entries))
         if self.recorder is not None:
             self.recorder.event(f"list {kind.value}: {changes(entries)}")
         return ServerList(kind, tuple(entry.listed for entry in entries))
@@ -363,11 +293,14 @@
                 held = self.owed(action.request)
                 if held is not None:
                     count(self.metrics.deferred, held.call)
+                    self.unserved.add(action.reason.value)
+                    self.trace.note(Step.REFUSED, action.request, action.reason.value)
                     held.call.client.on_refused(held.call, action.retry_after_us)
             case Fail():
                 held = self.owed(action.request)
                 if held is not None:
                     count(self.metrics.errored, held.call)
+                    self.trace.note(Step.FAILED, action.request, "timed out" if held.timed_out else "")
                     held.call.client.on_failed(held.call, held.timed_out)
             case Cancel():
                 self.cancel(action)
@@ -412,24 +345,44 @@
         if held is None:
             return
         number = len(held.attempts)
-        upload = held.call.upload
-        left_us = held.deadline_us - now_us()
-        if upload is not None:  # counts from its last byte
-            since_us = upload.ended_us if upload.ended else now_us()
-            left_us = since_us + held.call.patience_us - now_us()
+        left_us = held.left_us(now_us())
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
-        halved = upload is not None and (upload.begun or upload.broken)  # none can have all of it
-        void = halved or held.closed or wait_us <= 0 or number >= self.settings.max_attempts
-        if void or action.server not in self.back.listed:
-            held.attempts.append(None)
-            self.post(lambda: self.moot(action, number))
-            return
+        listed = self.places.get(action.server)
+        sending = Sending(listed.zone, listed.group) if listed is not None else Sending(-1, -1)
         # Its end may come before `begin` is back: then the list has its place already.
         held.attempts.append(None)
+        held.sendings.append(sending)
+        denial = self.objection(held, action.server, number, wait_us)
+        if denial is not None:
+            self.withhold(id_, denial)
+            self.post(lambda: self.moot(action, number))
+            return
         held.out += 1
         watch = Watch(self, held, number, action.begin_by_us)
         held.attempts[number] = self.back.begin(held.call, action.server, wait_us, watch)
 
+    def objection(self, held: Held, server: int, number: int, wait_us: int) -> Denial | None:
+        """Why an attempt that the module has chosen is not begun; a choice that breaks a rule is told."""
+        if number >= self.settings.max_attempts:
+            return Denial.TOO_MANY_ATTEMPTS
+        upload = held.call.upload
+        if upload is not None and (upload.begun or upload.broken):  # none can have all of it
+            return Denial.BODY_SPENT
+        state = ServerState.SERVING if server in self.back.listed else ServerState.NOT_LISTED
+        denial = may_send(held.closed, wait_us, state, lambda: False)
+        if denial is not None:
+            return denial
+        klass = self.settings.classes[held.call.klass]
+        denial = may_repeat(self.settings, klass, held.sendings[number], held.sendings, now_us())
+        if denial is not None:
+            self.violations.note(Rule.REPEAT, held.call.id, f"{denial.value} at server {server}")
+        return denial
+
+    def withhold(self, id_: str, denial: Denial) -> None:
+        """Count what was not sent."""
+        self.withheld.add(denial.value)
+        self.trace.note(Step.ATTEMPT_WITHHELD, id_, denial.value)
+
     def moot(self, action: Send, number: int) -> Event:
         held = self.held.get(action.request)
         finished = held is None or held.closed
@@ -460,6 +413,11 @@
     ) -> Event:
         id_ = held.call.id
         held.out -= 1
+        held.sendings[number].outcome = outcome
+        self.ended.add(outcome.value)
+        if outcome is not Outcome.OK:
+            detail = f"{number} at server {attempt.server}: {outcome.value} after {attempt.latency_us} us"
+            self.trace.note(Step.ATTEMPT_FAILED, id_, detail)
         if self.recorder is not None:
             good = outcome is Outcome.OK
             self.recorder.attempt(held.call.klass, outcome.value, attempt.latency_us, good)
@@ -503,18 +461,33 @@
         self.gateway, self.held, self.number = gateway, held, number
         self.begin_by_us = begin_by_us
 
-    def is_owed(self) -> bool:
+    def may_begin(self, server: ServerState) -> bool:
         """As above; the client's end is asked for here, where nothing comes between the look and the byte.
 
         Guards against all that may hide a leaving client from the loop: it is not being read from, or the
         loop has been elsewhere since it left, so that its request and its end are found together.
         """
-        held = self.held
-        if not held.closed and held.call.has_gone():
-            self.gateway.leave(held.call.id)
-        if self.begin_by_us and now_us() >= self.begin_by_us:
-            return False  # a repeat is dropped only within its window, and its connection came up after that
-        return not held.closed
+        held, gateway = self.held, self.gateway
+        denial = self.objection() or may_send(
+            held.closed, held.left_us(now_us()), server, held.call.has_gone
+        )  # fmt: skip
+        if denial is None:
+            return True
+        gateway.withhold(held.call.id, denial)
+        if denial is Denial.CLIENT_GONE:
+            gateway.leave(held.call.id)
+        return False
+
+    def objection(self) -> Denial | None:
+        """What has become of a repeat since it was chosen: its connection may have come up late."""
+        held, settings, now = self.held, self.gateway.settings, now_us()
+        if self.begin_by_us and now >= self.begin_by_us:
+            return Denial.WINDOW_OVER
+        klass = settings.classes[held.call.klass]
+        return may_repeat(settings, klass, held.sendings[self.number], held.sendings, now)
+
+    def on_first_byte(self) -> None:
+        self.held.sendings[self.number].begun_us = now_us()
 
     def on_written(self) -> None:
         call = self.held.call
--- a/sagetrack/core/metrics.py
+++ b/sagetrack/core/metrics.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 PREFIX = "svc_"
 Gauges = Mapping[str, Callable[[], int]]
@@ -24,6 +24,23 @@
         self.by_class[klass] += 1
 
 
+class Reasons:
+    """A count for each reason that something was done or withheld."""
+
+    __slots__ = ("counts", "label", "name")
+
+    def __init__(self, name: str, label: str, reasons: Iterable[str]) -> None:
+        self.name, self.label = name, label
+        self.counts = dict.fromkeys(reasons, 0)
+
+    def add(self, reason: str) -> None:
+        self.counts[reason] = self.counts.get(reason, 0) + 1
+
+    def figures(self) -> dict[str, float]:
+        """For the stats."""
+        return {f'{self.name}{{{self.label}="{reason}"}}': count for reason, count in self.counts.items()}
+
+
 class Metrics:
     """All figures of one gateway."""
 
--- /dev/null
+++ b/sagetrack/core/violations.py
@@ -0,0 +1,38 @@
+"""Rules that were about to be broken, or were: counted by rule and told in the log with the call's id.
+
+A count that is not 0 is a fault of this program, whatever its clients and servers do.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from sagetrack.core.log import log
+from sagetrack.core.trace import Step, Trace
+
+
+class Rule(Enum):
+    """What is watched while the program runs."""
+
+    REPEAT = "repeat"  # a repeat was chosen that may run twice; it was not sent
+    WITHDRAWN = "withdrawn"  # a server that may get nothing was chosen; nothing was sent
+    UNANSWERED = "unanswered"  # a call's time was over without an answer; it was answered then
+    CLOSED = "closed_unanswered"  # a connection was closed under a call that was owed an answer
+    HANDLING = "handling"  # an event or an action ended with an error
+
+
+class Violations:
+    """Counts of one process."""
+
+    def __init__(self, trace: Trace) -> None:
+        self.trace = trace
+        self.counts = dict.fromkeys(Rule, 0)
+
+    def note(self, rule: Rule, about: str, detail: str) -> None:
+        self.counts[rule] += 1
+        self.trace.note(Step.VIOLATION, about, f"{rule.value}: {detail}")
+        log(f"violation of rule {rule.value}: {detail}", "error", f"violation {rule.value}", call=about)
+
+    def figures(self) -> dict[str, float]:
+        """For the stats."""
+        return {f'violations_total{{rule="{rule.value}"}}': count for rule, count in self.counts.items()}
--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -19,7 +19,7 @@
 from sagetrack.decide.door import PROMISED_WORTH, Door, Why
 from sagetrack.decide.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptWritten, Cancel, Demands, Effect, Event, Fail, Fellows, Learned,
-    Leaving, ListedServer, ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send,
+    Leaving, ListedServer, ListKind, Log, Outcome, Reason, Refuse, RequestArrived, RequestGone, Scope, Send,
     ServerList, ServerStatus, SetTimer, Settings, Shares, Sharing, StreamStarted, TimerFired, Turns,
     WatchList,
 )
@@ -389,10 +389,10 @@
                 self.answer_unserved(request)
         elif self.door is not None and not self.settings.classes[request.klass].in_order:
             self.come_in(self.door, request, event.is_retry)
-        elif self.is_shed(request) or not (
-            self.waits_its_turn(request) or self.try_send(request) or self.waits_for_room(request)
-        ):
-            self.answer_unserved(request)
+        elif self.is_shed(request):
+            self.answer_unserved(request, Reason.SHED)
+        elif not (self.waits_its_turn(request) or self.try_send(request) or self.waits_for_room(request)):
+            self.answer_unserved(request, Reason.NO_ROOM)
 
     def admit(self, event: RequestArrived) -> Request:
         klass = self.settings.classes[event.klass]
@@ -410,8 +410,10 @@
                 self.asked = [n / 2 for n in self.asked]
                 self.served = [n / 2 for n in self.served]
         return Request(
-            event.request, event.klass, event.key, min(self.now_us + event.patience_us, self.ends_us),
-            self.now_us + max(0, klass.aim_us - used_us), size, first_try, self.excess(event.tenant),
+            event.request, event.klass, event.key,
+            min(self.now_us + event.patience_us - event.waited_us, self.ends_us),
+            self.now_us + max(0, klass.aim_us - used_us - event.waited_us), size, first_try,
+            self.excess(event.tenant),
             uploading=event.uploading, once=event.uploading or event.only >= 0, client=event.client,
             member=self.door.member(event.tenant) if self.door is not None else 0, tenant=event.tenant,
             only=event.only, told_us=-1 if event.only < 0 else 0,
@@ -472,7 +474,7 @@
 
     def turn_away(self, door: Door[Request], request: Request, why: Why) -> None:
         door.reasons[why] += 1
-        self.answer_unserved(request)
+        self.answer_unserved(request, Reason.TURN)
 
     def serve_fairly(self, door: Door[Request]) -> None:
         """Send whose turn it is, while there is room."""
@@ -586,6 +588,8 @@
 
         Guards against queues that grow past every aim: what gains the goal least for its work goes first.
         """
+        if self.now_us >= request.deadline_us:
+            return True  # its client waits no longer
         if self.settings.classes[request.klass].late_worth <= 0.0 and self.now_us >= request.aim_us:
             return True  # a repeat whose aim is over earns nothing
         hopeless_us = HOPELESS * self.unhindered[request.klass] * request.size
@@ -651,7 +655,7 @@
     def expected_us(self, request: Request) -> float:
         return self.smoothed[request.klass] * request.size
 
-    def answer_unserved(self, request: Request) -> None:
+    def answer_unserved(self, request: Request, reason: Reason = Reason.OTHER) -> None:
         """The final answer when no attempt is out and none is to come."""
         if request.done:
             return
@@ -659,7 +663,7 @@
         ran = any(a.may_have_run for a in request.attempts)
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
-            self.actions.append(Refuse(request.id, self.retry_after_us(request)))
+            self.actions.append(Refuse(request.id, self.retry_after_us(request), reason))
             if self.door is not None and request.only < 0:
                 self.door.rows[request.member].refused += 1
         else:
@@ -762,11 +766,11 @@
             if self.door is not None and request in self.door.queues.entries:
                 self.turn_away(self.door, request, Why.LATE)
             elif request in self.waiting:
-                self.answer_unserved(request)
+                self.answer_unserved(request, Reason.NO_ROOM)
         elif request is not None and request.done and request.out == 0:
             self.free(request)
         elif request is not None and request.out == 0:
-            self.answer_unserved(request)  # its turn has not come
+            self.answer_unserved(request, Reason.TURN)  # it has not come
         elif request is not None and not request.done:
             self.on_overdue(request)
 
@@ -890,7 +894,7 @@
         if allowed and time_left and room and whole and self.try_send(request):
             self.retry_tokens -= cost * ran
         else:
-            self.answer_unserved(request)
+            self.answer_unserved(request, Reason.UNSERVED)
 
     def subset(self, klass: int) -> list[Server]:
         """The servers that this proxy spreads over: the first in rank that may be used.
--- a/sagetrack/decide/interface.py
+++ b/sagetrack/decide/interface.py
@@ -227,6 +227,7 @@
     uploading: bool = False  # its body still comes, and can go to one server only: see AttemptWritten
     client: int = 0  # who asks within the tenant; 0 where nobody knows, below it what several may share
     only: int = -1  # a copy, to compare answers: 1 for servers of the newer format alone, 0 for the others
+    waited_us: int = 0  # of its time that was over when it was taken, as it came behind others
 
 
 @dataclass(slots=True, frozen=True)
@@ -382,12 +383,23 @@
     begin_by_us: int = field(default=0, repr=False)  # from then on nothing of it may be sent; 0: whenever
 
 
+class Reason(Enum):
+    """Why a request is refused."""
+
+    SHED = "shed"  # servers wait too long, and it gains the least
+    NO_ROOM = "no_room"  # no server could take it, or none in time
+    TURN = "turn"  # what is to run before it takes too long, or the queues turn it away
+    UNSERVED = "unserved"  # its attempts have failed, and no other may be made
+    OTHER = "other"
+
+
 @dataclass(slots=True, frozen=True)
 class Refuse:
     """Final answer: not done, and trying again is harmless."""
 
     request: str
     retry_after_us: int = 0
+    reason: Reason = field(default=Reason.OTHER, compare=False, repr=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/sagetrack/dns/back.py
+++ b/sagetrack/dns/back.py
@@ -18,7 +18,8 @@
 from sagetrack.config.platform import Address
 from sagetrack.core.calls import Entry
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Call, Watcher
+from sagetrack.core.permission import ServerState
+from sagetrack.core.interfaces import Call, Watcher
 from sagetrack.decide.interface import LoadReport, Outcome, ServerStatus, Settings
 from sagetrack.dns.message import Answer, MessageError, Query, Rcode, parse_answer, upstream_query
 
@@ -53,6 +54,10 @@
     line: TcpLine | None = None
     turn: int = 0
 
+    @property
+    def state(self) -> ServerState:
+        return ServerState.SERVING if self.drained_us is None else ServerState.WITHDRAWN
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -177,7 +182,7 @@
         self.transport = cast(asyncio.Transport, transport)
         while self.early:
             attempt = self.early.popleft()
-            if attempt.watcher.is_owed() and self.upstream.drained_us is None:
+            if attempt.watcher.may_begin(self.upstream.state):
                 self.write(attempt)
             else:
                 self.pool.end(attempt, Outcome.CANCELLED)  # it has run over UDP
@@ -317,10 +322,11 @@
             return None
         now = now_us()
         attempt = Attempt(upstream, call.message, watcher, now)
-        if upstream.drained_us is not None or not watcher.is_owed():
+        if not watcher.may_begin(upstream.state):
             self.end(attempt, Outcome.MOOT)  # see http/back
             return attempt
         attempt.timer = self.loop.call_later(wait_us / 1e6, self.on_timeout, attempt)
+        watcher.on_first_byte()
         try:
             sent = self.socket_to(upstream, now).send(attempt)
         except OSError:
--- a/sagetrack/dns/front.py
+++ b/sagetrack/dns/front.py
@@ -14,7 +14,8 @@
 
 from sagetrack.config.platform import Address
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Call, Gateway, Source
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Call, Source
 from sagetrack.dns.cache import STALE_TTL_S, Cache, Hit, Subject
 from sagetrack.dns.limits import Access, InWork, ResponseRate, Verdict
 from sagetrack.dns.message import (
--- a/sagetrack/h2/back.py
+++ b/sagetrack/h2/back.py
@@ -25,12 +25,13 @@
 from sagetrack.core.bodies import LARGE_LIMIT, STALL_S, nothing
 from sagetrack.core.calls import Entry, Reply
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Call, Watcher
+from sagetrack.core.permission import ServerState
+from sagetrack.core.interfaces import Call, Watcher
 from sagetrack.decide.interface import LoadReport, Outcome, ServerStatus, Settings
 from sagetrack.h2 import outcomes
 from sagetrack.h2.messages import MessageError, Unpacker, pack
 from sagetrack.h2.metadata import TranslationError
-from sagetrack.h2.translate import more, piece, to_new, to_old
+from sagetrack.h2.translate import more, piece, to_new, to_old, with_timeout
 
 STREAMS = 100  # of one connection, until its server's SETTINGS say otherwise; and at the most
 LINES = 4  # connections to one server
@@ -77,6 +78,7 @@
     call: Call
     watcher: Watcher
     sent_us: int
+    timeout_us: int
     headers: list[tuple[str, str]]
     out: deque[bytes]  # what is still to be sent of it
     latency_us: int = 0
@@ -102,6 +104,13 @@
     def server(self) -> int:
         return self.host.id
 
+    @property
+    def left_us(self) -> int:
+        """How long its answer will be waited for; the time of a request counts from its last byte."""
+        if self.call.upload is not None and not self.call.upload.ended:
+            return self.timeout_us
+        return self.timeout_us - (now_us() - self.sent_us)
+
     # As the source of an answer that passes through
 
     def pause(self) -> None:
@@ -182,7 +191,8 @@
             return
         try:
             stream = self.h2.get_next_available_stream_id()
-            self.h2.send_headers(stream, attempt.headers)
+            attempt.watcher.on_first_byte()
+            self.h2.send_headers(stream, with_timeout(attempt.headers, attempt.left_us))
         except h2.exceptions.H2Error:  # too many streams after all, or none left: nothing was sent
             self.leaving = True
             self.pool.end(attempt, Outcome.MOOT)
@@ -547,7 +557,8 @@
 
     def may_begin(self, attempt: NewAttempt) -> bool:
         """From the word on that its server drains or is gone nothing is begun: see http/back."""
-        return attempt.watcher.is_owed() and attempt.host.drained_us is None
+        withdrawn = attempt.host.drained_us is not None
+        return attempt.watcher.may_begin(ServerState.WITHDRAWN if withdrawn else ServerState.SERVING)
 
     # Attempts
 
@@ -564,10 +575,12 @@
         except TranslationError:
             # The front turns such a call away with the reason; this is for what it cannot know.
             self.counts.untranslated += 1
-            attempt = NewAttempt(host, call, watcher, now, [], deque())
+            attempt = NewAttempt(host, call, watcher, now, wait_us, [], deque())
             self.end(attempt, Outcome.MOOT)
             return attempt
-        attempt = NewAttempt(host, call, watcher, now, headers, deque([pack(first)]), moved_us=now)
+        attempt = NewAttempt(
+            host, call, watcher, now, wait_us, headers, deque([pack(first)]), moved_us=now
+        )  # fmt: skip
         if not self.may_begin(attempt):
             self.end(attempt, Outcome.MOOT)
             return attempt
--- a/sagetrack/h2/front.py
+++ b/sagetrack/h2/front.py
@@ -21,7 +21,8 @@
 from sagetrack.core.bodies import LARGE_LIMIT, Allowance, Upload
 from sagetrack.core.calls import Header, Reply
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Call, Client, Gateway, Source
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Call, Client, Source
 from sagetrack.core.hangup import hung_up
 from sagetrack.h2.calls_pb2 import Answer
 from sagetrack.h2.messages import MessageError, Unpacker, goaway, pack
--- a/sagetrack/h2/fuzz.py
+++ b/sagetrack/h2/fuzz.py
@@ -18,7 +18,8 @@
 
 from sagetrack.core.bodies import Allowance, Upload
 from sagetrack.core.calls import Header, Reply
-from sagetrack.core.gateway import Call, Client
+from sagetrack.core.permission import ServerState
+from sagetrack.core.interfaces import Call, Client
 from sagetrack.decide.interface import Outcome, RequestClass, Settings
 from sagetrack.h2.back import Line, NewHost, NewPools
 from sagetrack.h2.calls_pb2 import Answer
@@ -57,8 +58,11 @@
     def __init__(self) -> None:
         self.ends: list[tuple[Outcome, Any]] = []
 
-    def is_owed(self) -> bool:
-        return True
+    def may_begin(self, server: ServerState) -> bool:
+        return server is ServerState.SERVING
+
+    def on_first_byte(self) -> None:
+        """Of no concern here."""
 
     def on_written(self) -> None:
         """Of no concern here."""
--- a/sagetrack/h2/mixed.py
+++ b/sagetrack/h2/mixed.py
@@ -8,7 +8,8 @@
 
 from sagetrack.core.calls import Entry
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Answer, Attempt, Back, Call, Source, Watcher
+from sagetrack.core.permission import ServerState
+from sagetrack.core.interfaces import Answer, Attempt, Back, Call, Source, Watcher
 from sagetrack.decide.interface import LoadReport, Outcome, ServerStatus
 from sagetrack.decide.moving import Move
 from sagetrack.h2.back import NewAttempt, NewPools
@@ -27,8 +28,11 @@
         self.watcher, self.mixed, self.newer, self.call = watcher, mixed, newer, call
         self.streams = False
 
-    def is_owed(self) -> bool:
-        return self.watcher.is_owed()
+    def may_begin(self, server: ServerState) -> bool:
+        return self.watcher.may_begin(server)
+
+    def on_first_byte(self) -> None:
+        self.watcher.on_first_byte()
 
     def on_written(self) -> None:
         self.watcher.on_written()
--- a/sagetrack/h2/shadow.py
+++ b/sagetrack/h2/shadow.py
@@ -13,7 +13,8 @@
 
 from sagetrack.core.calls import Header, Reply
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Call, Gateway, Source
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Call, Source
 from sagetrack.core.log import log
 from sagetrack.decide.interface import Effect
 from sagetrack.decide.limits import Buckets, Rate
--- a/sagetrack/h2/translate.py
+++ b/sagetrack/h2/translate.py
@@ -83,6 +83,12 @@
     return [*pseudo, *metadata.items()], first.SerializeToString()
 
 
+def with_timeout(headers: list[tuple[str, str]], left_us: int) -> list[tuple[str, str]]:
+    """The same headers with what is left of the time now: the connection may have come up late."""
+    told = timeout_header(max(1, left_us))
+    return [(name, told if name == "grpc-timeout" else value) for name, value in headers]
+
+
 def more(data: bytes) -> bytes:
     """A further message with a piece of a call's body."""
     return Call(body=data).SerializeToString()
--- a/sagetrack/http/back.py
+++ b/sagetrack/http/back.py
@@ -16,7 +16,8 @@
 from sagetrack.core.deadlines import REST_S
 from sagetrack.config.platform import Address
 from sagetrack.core.calls import Entry, Reply
-from sagetrack.core.gateway import Call, Watcher
+from sagetrack.core.interfaces import Call, Watcher
+from sagetrack.core.permission import ServerState
 from sagetrack.http.http1 import ReplyError, ReplyReader, header
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
@@ -31,9 +32,9 @@
 Life = tuple[Address, int]  # where a host listens and when it started
 
 
-def always() -> bool:
-    """Nobody can lose interest."""
-    return True
+def if_serving(server: ServerState) -> bool:
+    """What nobody can lose interest in may begin while its server is there."""
+    return server is ServerState.SERVING
 
 
 @dataclass(slots=True, eq=False)
@@ -52,15 +53,23 @@
     def life(self) -> Life:
         return self.address, self.started_us
 
+    def state(self, life: Life) -> ServerState:
+        """What has become of the host since it was as it was in that life."""
+        if self.drained_us is not None:
+            return ServerState.WITHDRAWN
+        return ServerState.SERVING if self.life == life else ServerState.RESTARTED
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One request on its way to one host, until its outcome."""
 
     host: Host
-    payload: bytes
+    payload: Callable[[int], bytes]  # of the microseconds that are left when its first byte goes out
+    timeout_us: int
     on_end: Callable[[Attempt, Outcome, Reply | None], None]
-    is_owed: Callable[[], bool] = always  # its call still waits for an answer
+    may_begin: Callable[[ServerState], bool] = if_serving
+    on_first_byte: Callable[[], None] = nothing  # which goes out in this turn
     on_written: Callable[[], None] = nothing  # its last byte is with the kernel
     on_begun: Callable[[Attempt, Reply, HostConnection], None] | None = None  # the answer passes through
     on_piece: Callable[[bytes], None] = lambda data: None
@@ -79,6 +88,13 @@
     def server(self) -> int:
         return self.host.id
 
+    @property
+    def left_us(self) -> int:
+        """How long its answer will be waited for; the time of a request counts from its last byte."""
+        if self.upload is not None and not self.upload.ended:
+            return self.timeout_us
+        return self.timeout_us - (now_us() - self.sent_us)
+
 
 @dataclass(slots=True, frozen=True)
 class Message:
@@ -319,16 +335,19 @@
         if host is None:
             return None
         message: Message = call.message
-        payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (message.head, max(1, wait_us // 1000), message.body)
+
+        def payload(left_us: int) -> bytes:
+            return b"%sX-Budget-Ms: %d\r\n\r\n%s" % (message.head, max(1, left_us // 1000), message.body)
 
         def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
             watcher.on_end(attempt, outcome, reply, load_of(reply))
 
         attempt = Attempt(
-            host, payload, on_end, watcher.is_owed, watcher.on_written, watcher.on_begun, upload=call.upload
-        )
+            host, payload, wait_us, on_end, watcher.may_begin, watcher.on_first_byte, watcher.on_written,
+            watcher.on_begun, upload=call.upload,
+        )  # fmt: skip
         attempt.on_piece = lambda data: watcher.on_piece(attempt, data)
-        self.send(attempt, wait_us)
+        self.send(attempt)
         return attempt
 
     def probe(self, server: int, told: Callable[[Outcome, int, LoadReport | None], None]) -> None:
@@ -343,17 +362,17 @@
         path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
         address = f"{host.address[0]}:{host.address[1]}".encode()
         payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-        self.send(Attempt(host, payload, on_end), PROBE_TIMEOUT_US)
+        self.send(Attempt(host, lambda left_us: payload, PROBE_TIMEOUT_US, on_end))
 
-    def send(self, attempt: Attempt, timeout_us: int) -> None:
+    def send(self, attempt: Attempt) -> None:
         """Begin an attempt on a kept connection, or on a new one where none is free."""
         attempt.sent_us = now_us()
         later = self.loop.call_later
         upload = attempt.upload
         if upload is None or upload.ended:
-            attempt.timers.append(later(timeout_us / 1e6, self.on_timeout, attempt))
+            attempt.timers.append(later(attempt.timeout_us / 1e6, self.on_timeout, attempt))
         else:  # the time of a request counts from its last byte
-            end_s = timeout_us / 1e6
+            end_s = attempt.timeout_us / 1e6
             upload.on_end = lambda: attempt.timers.append(later(end_s, self.on_timeout, attempt))
         if upload is not None:
             attempt.moved_us = now_us()
@@ -397,8 +416,7 @@
         Of a host that drains or is gone nothing is begun from the word on, not from the end of its grace on:
         the word may have counted as told that long before it came.
         """
-        host = attempt.host
-        return attempt.is_owed() and host.drained_us is None and host.life == life
+        return attempt.may_begin(attempt.host.state(life))
 
     def take(self, host: Host) -> HostConnection | None:
         """The most recently used free connection that has rested: those at the bottom age and are closed."""
@@ -445,7 +463,8 @@
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
         connection.attempt, attempt.connection = attempt, connection
         connection.begun = True
-        if connection.write(attempt.payload):
+        attempt.on_first_byte()
+        if connection.write(attempt.payload(attempt.left_us)):
             connection.carry(attempt)
             return True
         connection.attempt = attempt.connection = None
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -11,7 +11,8 @@
 from sagetrack.core.bodies import Allowance, Upload
 from sagetrack.config.platform import Config, stable_id
 from sagetrack.core.drain import LEAVE_ACCEPT_S, Drain
-from sagetrack.core.gateway import Call, Gateway, Source
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Call, Source
 from sagetrack.core.calls import Alone, Header, Reply, Roster, Siblings
 from sagetrack.core.hangup import Hangups, hung_up
 from sagetrack.core.log import log
--- a/sagetrack/http/requests.py
+++ b/sagetrack/http/requests.py
@@ -9,9 +9,10 @@
 from sagetrack.decide.interface import Effect
 
 from sagetrack.core.bodies import LARGE_LIMIT, Allowance, Upload
+from sagetrack.core.clock import now_us
 from sagetrack.config.platform import Config, stable_id
 from sagetrack.core.calls import Header
-from sagetrack.core.gateway import Call, Client
+from sagetrack.core.interfaces import Call, Client
 from sagetrack.http.back import Message
 from sagetrack.http.http1 import BODY_LIMIT, HEAD_LIMIT, end_to_end, header, trimmed
 
@@ -36,7 +37,9 @@
 class Request:
     """One request as it was read; `fault` tells that it can't be, and nothing after it."""
 
-    __slots__ = ("body", "fault", "headers", "keep_alive", "method", "target", "upload", "version")
+    __slots__ = (
+        "body", "fault", "headers", "keep_alive", "method", "received_us", "target", "upload", "version",
+    )  # fmt: skip
 
     def __init__(self, fault: RequestError | None = None) -> None:
         self.method = b""
@@ -47,14 +50,15 @@
         self.fault = fault
         self.upload: Upload | None = None  # where its body goes, if it is too long to be held
         self.version = "1.1"
+        self.received_us = 0  # when its last byte was read
 
 
 class RequestReader:
     """Turns the bytes of one client's connection into requests."""
 
     __slots__ = (
-        "_allowance", "_body_size", "_parser", "_unparsed", "done", "expects", "in_body", "is_broken",
-        "reading", "rest",
+        "_allowance", "_body_size", "_fed_us", "_parser", "_unparsed", "done", "expects", "in_body",
+        "is_broken", "reading", "rest",
     )  # fmt: skip
 
     def __init__(self, allowance: Allowance) -> None:
@@ -65,6 +69,7 @@
         self.in_body = False
         self.expects = False  # the request that is being read waits for a word before it sends its body
         self._unparsed = 0  # bytes since the parser last gave something away
+        self._fed_us = 0  # when the newest bytes were read: what waits unparsed came with them
         self.done: deque[Request] = deque()  # read and not yet taken
         self.rest = b""  # not yet parsed, as enough requests wait
         self.is_broken = False  # nothing more is read
@@ -86,6 +91,8 @@
 
     def feed(self, data: bytes, most: int) -> None:
         """Read on, until so many requests wait: hundreds at once must not hold up everyone else."""
+        if data:
+            self._fed_us = now_us()
         self.rest = self.rest + data if self.rest else data
         if not self.rest or len(self.done) >= most:
             return
@@ -203,6 +210,7 @@
         if request.upload is not None:
             request.upload.end()
             return
+        request.received_us = self._fed_us
         request.keep_alive = self._parser.should_keep_alive()
         self.done.append(request)
 
@@ -251,6 +259,7 @@
         message=Message(_head(request, body), body),
         client=client,
         upload=request.upload,
+        received_us=request.received_us,
         who=stable_id(named_by, 8) if (named_by := headers.get(config.client_header)) else 0,
     )
 
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -13,7 +13,8 @@
 from sagetrack.decide.interface import ListKind, Shares
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
-from sagetrack.core.gateway import Back, Gateway
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Back
 from sagetrack.http.line import HttpLine, connect
 from sagetrack.ops.fairness import shares_in, with_door
 from sagetrack.ops.fellowship import Handover, node_for
--- a/sagetrack/ops/newer.py
+++ b/sagetrack/ops/newer.py
@@ -11,7 +11,8 @@
 from sagetrack.core.bodies import Upload
 from sagetrack.core.calls import Entry, Header
 from sagetrack.core.clock import now_us
-from sagetrack.core.gateway import Back, Call, Client, Gateway
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Back, Call, Client
 from sagetrack.core.log import log
 from sagetrack.decide.interface import ListKind, Turns
 from sagetrack.decide.moving import Move
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -124,6 +124,9 @@
             writer.close()
 
 
+BY_REASON = {"svc_attempts_total", "svc_withheld_total", "svc_refused_total", "svc_violations_total"}
+
+
 @on_loop
 async def test_the_figures_are_true() -> None:
     async with peer() as host, running(configuration(host)) as run, second_address(run) as port:
@@ -139,6 +142,12 @@
         host.script = answers(reply(503, b"", "X-Rejected: 1"))  # last: what follows may be shed
         assert (await run.ask(request("hold"))).status == 503
         told = figures(await call(port, b"stats\n"))
+        reasons = {name: told.pop(name) for name in list(told) if name.partition("{")[0] in BY_REASON}
+        assert {name: count for name, count in reasons.items() if count} == {
+            'svc_attempts_total{outcome="ok"}': 3, 'svc_attempts_total{outcome="error"}': 1,
+            'svc_attempts_total{outcome="full"}': 1, 'svc_refused_total{reason="unserved"}': 1,
+        }  # fmt: skip
+        assert {name.partition("{")[0] for name in reasons} == BY_REASON  # also those of 0
         assert told == {
             'svc_answered_total{group="search"}': 3, 'svc_answered_total{group="hold"}': 0,
             'svc_answered_total{group="transfer"}': 0, 'svc_deferred_total{group="search"}': 0,
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -66,7 +66,7 @@
             ended.append(outcome)
 
         data = request("transfer")
-        pool.send(Attempt(pool.hosts[host_id(0)], data, on_end), 20_000_000)
+        pool.send(Attempt(pool.hosts[host_id(0)], lambda left_us: data, 20_000_000, on_end))
         await until(lambda: ended)
         assert ended == [Outcome.OK] and host.opened == 2
 
@@ -150,11 +150,11 @@
             ended.append(outcome)
 
         known = pools.hosts[host_id(0)]
-        pools.send(Attempt(known, request(), on_end), 20_000_000)
+        pools.send(Attempt(known, lambda left_us: request(), 20_000_000, on_end))
         pools.drain(known)
         await until(lambda: ended)
         assert ended == [Outcome.MOOT] and not host.seen
-        pools.send(Attempt(known, request(), on_end), 20_000_000)
+        pools.send(Attempt(known, lambda left_us: request(), 20_000_000, on_end))
         assert ended == [Outcome.MOOT] * 2
 
 
--- a/tests/test_h2.py
+++ b/tests/test_h2.py
@@ -21,7 +21,8 @@
 from sagetrack.config.platform import ConfigError, parse
 from sagetrack.core.bodies import Allowance, Upload
 from sagetrack.core.calls import Entry, Reply
-from sagetrack.core.gateway import Call
+from sagetrack.core.permission import ServerState
+from sagetrack.core.interfaces import Call
 from sagetrack.decide.balance import Balancer
 from sagetrack.decide.interface import (
     AttemptEnded, Effect, ListedServer, ListKind, Outcome, RequestArrived, RequestClass, Send, ServerList,
@@ -183,8 +184,11 @@
         self.pieces: list[bytes] = []
         self.source: Any = None
 
-    def is_owed(self) -> bool:
-        return True
+    def may_begin(self, server: ServerState) -> bool:
+        return server is ServerState.SERVING
+
+    def on_first_byte(self) -> None:
+        """Of no concern here."""
 
     def on_written(self) -> None:
         self.written += 1
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -21,7 +21,9 @@
 from hypothesis import strategies as st
 
 from sagetrack.core.calls import Entry
-from sagetrack.core.gateway import Call, Gateway
+from sagetrack.core.gateway import Gateway
+from sagetrack.core.interfaces import Call
+from sagetrack.core.permission import ServerState
 from sagetrack.decide.interface import Effect, ListedServer, ListKind, ServerStatus
 from sagetrack.http.back import HostConnection, Message, Pools
 from tests.helpers import SETTINGS
@@ -367,7 +369,7 @@
 
 
 def forget_the_word(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Pools, "may_begin", lambda self, attempt, life: attempt.is_owed())
+    patch.setattr(Pools, "may_begin", lambda self, attempt, life: attempt.may_begin(ServerState.SERVING))
 
 
 def forget_what_was_written(patch: pytest.MonkeyPatch) -> None:
