A change that withdraws a server counts, whatever else of its entry can be read

Cause (probe): DRAINING with weight 0 and DELETED without an address were skipped by parse_list with a line in the log, and the server got requests 2.6 s later: parse_entry reads weight and address before anything is made of the status. Change: an entry that cannot be used and does not say SERVING is taken as a withdrawal by its name; null is an empty list.

--- a/sagetrack/roster/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -19,8 +19,10 @@
 LIST = b"/registry/instances"
 REFUSED_TWICE = 2  # in a row, whatever else failed between: it has too many calls, and cannot be reached yet
 BUSY = (429, 503)  # it could be reached, and has too many calls
+SERVING = "SERVING"
+NOWHERE: Address = ("", 0)  # the address of a server that is gone
 STATUSES = {
-    "SERVING": ServerStatus.READY,
+    SERVING: ServerStatus.READY,
     "DRAINING": ServerStatus.DRAINING,
     "DELETED": ServerStatus.GONE,
 }
@@ -46,10 +48,28 @@
 Connect = Callable[[Address], Awaitable[Line]]
 
 
-def parse_entry(raw: dict[str, Any], names: Names) -> Entry:
+def name_of(raw: dict[str, Any]) -> str:
+    """The name of an entry; ValueError if it has none."""
     name = raw["name"]
     if not isinstance(name, str) or not name:
         raise ValueError("no name")
+    return name
+
+
+def withdrawal(raw: dict[str, Any]) -> Entry | None:
+    """An entry that takes a server back, by its name alone; None where it says that the server serves.
+
+    Guards against sending on to a server whose entry is no use for sending: one that drains may have a weight
+    of 0, one that is gone no address. A status that is not known here is no word that it serves.
+    """
+    status = raw.get("status")
+    if status == SERVING:
+        return None
+    return Entry(name_of(raw), NOWHERE, ListedServer(stable_id(name_of(raw), 4), ServerStatus.GONE))
+
+
+def parse_entry(raw: dict[str, Any], names: Names) -> Entry:
+    name = name_of(raw)
     zone, kind, group = raw.get("zone", ""), raw.get("type", ""), raw.get("group", 0)
     return Entry(
         name,
@@ -66,6 +86,21 @@
     )
 
 
+def usable_entry(raw: Any, names: Names) -> Entry | None:
+    """An entry, or at least the withdrawal that is in it; None, and a line in the log, for neither."""
+    unusable = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+    try:
+        return parse_entry(raw, names)
+    except unusable as error:
+        try:
+            withdrawn = withdrawal(raw)
+        except unusable:
+            withdrawn = None
+        kept = "skipped" if withdrawn is None else "taken as a withdrawal"
+        log(f"an entry of the list of hosts is {kept} ({error!r}): {str(raw)[:200]}")
+        return withdrawn
+
+
 def _weight(value: object) -> float:
     weight = float(value)  # type: ignore[arg-type]
     if not 0.0 < weight < 1e9:
@@ -81,14 +116,16 @@
 
 def parse_list(raw: object, names: Names) -> tuple[int, bool, list[Entry]]:
     """A list in discovery's form: its version, whether it is whole, and the entries that can be used."""
-    if not isinstance(raw, dict) or not isinstance(raw.get("endpoints", []), list):
+    if not isinstance(raw, dict):
+        raise ValueError("not a list of hosts")
+    endpoints = raw.get("endpoints")
+    endpoints = [] if endpoints is None else endpoints  # some encoders write an empty list as null
+    if not isinstance(endpoints, list):
         raise ValueError("not a list of hosts")
     entries: dict[int, Entry] = {}
-    for item in raw.get("endpoints", []):
-        try:
-            entry = parse_entry(item, names)
-        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            log(f"an entry of the list of hosts is skipped ({error!r}): {str(item)[:200]}")
+    for item in endpoints:
+        entry = usable_entry(item, names)
+        if entry is None:
             continue
         other = entries.get(entry.listed.server)
         if other is not None and other.name != entry.name:
@@ -143,7 +180,7 @@
         """Keep the list as it stands, in discovery's form, and say that there is news of it."""
         if whole:
             self.raw, self.noted = {}, {}
-        for item in raw.get("endpoints", []):
+        for item in raw.get("endpoints") or []:
             if not isinstance(item, dict) or not isinstance(item.get("name"), str):
                 continue
             if item.get("status") == "DELETED":
