Three faults of a failing machine or a crossed upgrade, each with a failing test

A mark that vanished from TMPDIR: no start, exit 1. At fault: core/log.plain raises into its callers; ops/overlap counts a process that leaves as serving, and Front.leave then closes the socket; Overlap.serve lets errors of rename out.

--- /dev/null
+++ b/tests/test_failing_system.py
@@ -0,0 +1,99 @@
+"""What a failing machine does to one process: its log, its folder, its descriptors, its configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from sagetrack.ops.overlap import Overlap
+from tests.sockets import (
+    Exchange, Peer, configuration, endpoint, host_id, list_reply, on_loop, peer, reply, request, running,
+    silent, until,
+)  # fmt: skip
+from tests.test_gateway_process import READY, ask, connect
+from tests.test_gateway_upgrade import marks, start
+
+
+@asynccontextmanager
+async def returning_discovery(host: Peer, resets: int) -> AsyncIterator[Peer]:
+    """It resets its first calls, and then says that the server drains."""
+    calls = 0
+
+    async def script(exchange: Exchange) -> None:
+        nonlocal calls
+        calls += 1
+        if calls <= resets:
+            exchange.reset()
+        elif "from=" in exchange.message.first:
+            await asyncio.sleep(0.2)
+            exchange.answer(list_reply(9, snapshot=False))
+        else:
+            exchange.answer(list_reply(9, endpoint("s-0", host.address, status="DRAINING")))
+
+    async with peer(script) as discovery:
+        yield discovery
+
+
+@on_loop
+async def test_a_log_that_cannot_be_written_costs_nothing_else() -> None:
+    """A full disk under standard error: discovery fails, which is told in the log, and is asked again."""
+    full = os.open("/dev/full", os.O_WRONLY)
+    kept = os.dup(sys.__stderr__.fileno())  # type: ignore[union-attr]
+    async with peer() as host, returning_discovery(host, resets=2) as discovery:
+        os.dup2(full, 2)
+        stream, sys.stderr = sys.stderr, open(2, "w", closefd=False)  # noqa: SIM115
+        try:
+            async with running(configuration(host, discovery=discovery.address)) as run:
+                hosts = run.instance.pools.hosts
+                await until(lambda: hosts[host_id(0)].drained_us is not None)
+        finally:
+            sys.stderr = stream
+            os.dup2(kept, 2)
+            os.close(full)
+            os.close(kept)
+
+
+@on_loop
+async def test_a_process_told_to_end_while_the_one_before_still_leaves_takes_what_comes(
+    tmp_path: Path,
+) -> None:
+    """An upgrade and a restart cross: neither may count on the other for new clients."""
+    async with peer(silent) as host:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            old = await start(tmp_path, listener, configuration(host))
+            held = await connect(port)
+            held.send(request("transfer", b"held"))
+            await until(lambda: host.seen)
+            new = await start(tmp_path, listener, configuration(host))
+            await until(lambda: new.pid in marks(tmp_path, "serving"))
+            old.send_signal(signal.SIGTERM)
+            await until(lambda: old.pid not in marks(tmp_path, "serving"))
+            new.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(3.0):
+                for _ in range(4):
+                    assert await ask(port, READY) == 503
+            host.seen[0].answer(reply(200, b"done"))
+            assert (await held.answer()).body == b"done"
+            assert await old.wait() == 0 and await new.wait() == 0
+            held.close()
+
+
+@on_loop
+async def test_a_mark_that_is_lost_in_the_folder_does_not_keep_a_process_from_serving(tmp_path: Path) -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        overlap = Overlap(str(tmp_path))
+        overlap.join()
+        for mark in tmp_path.iterdir():
+            mark.unlink()
+        overlap.serve()  # as the process does once it takes clients
+        overlap.look()
+        overlap.leave()
+        run.server.overlap = overlap
+        assert (await run.ask(request())).status == 200
