A log that cannot be written, a lost mark and two processes that leave at once cost no request

Change: a line that cannot be written (full disk, closed stream) or would have to wait (a pipe that nobody reads) is dropped, counted, and told with the next one; standard error is unbuffered, so that nothing is left over at the exit. A process that leaves marks itself as one that does not serve, and keeps its share of the limits; a mark that cannot be changed, read or listed ends nothing, and what cannot be found out of another process is taken as it was, not as nobody (found by reading _is_held: without descriptors a process took itself for the only one, and with that all of a cold server's budget). The test of two processes now waits for the second signal to have come: it asked too early and got 200.

--- a/sagetrack/core/calls.py
+++ b/sagetrack/core/calls.py
@@ -63,6 +63,10 @@
         """Say that this process takes clients."""
         ...
 
+    def begin_leaving(self) -> None:
+        """Say that this process takes clients no longer."""
+        ...
+
     def leave(self) -> None: ...
 
 
@@ -78,5 +82,8 @@
     def serve(self) -> None:
         """There is nobody to tell."""
 
+    def begin_leaving(self) -> None:
+        """There is nobody to tell."""
+
     def leave(self) -> None:
         """There is nobody to tell."""
--- a/sagetrack/core/log.py
+++ b/sagetrack/core/log.py
@@ -6,15 +6,19 @@
 
 from __future__ import annotations
 
+import io
+import select
 import sys
 from collections.abc import Callable
 from time import monotonic
+from typing import BinaryIO, TextIO, cast
 
 Sink = Callable[[str, str, dict[str, object]], None]  # level, event, fields
 
 LEVELS = ("debug", "info", "warning", "error")
 BURST = 20.0  # lines of one event at once
 RATE = 5.0  # lines of one event a second, in the long run
+LINE_LIMIT = 3_000  # characters of an event: what a pipe that takes anything takes at once
 EVENTS = 256  # events that are told apart; the rest share one bound
 
 
@@ -64,8 +68,26 @@
     print(f"sagetrack: {event}{named}", file=sys.stderr, flush=True)
 
 
+def unbuffered() -> TextIO:
+    """Standard error without a buffer: a line that cannot be written is dropped, not kept for the exit."""
+    raw = io.FileIO(sys.__stderr__.fileno() if sys.__stderr__ else 2, "w", closefd=False)
+    return io.TextIOWrapper(cast(BinaryIO, raw), "utf-8", "backslashreplace", write_through=True)
+
+
+def takes_a_line(stream: TextIO) -> bool:
+    """Whether a line can be written there without a wait; a pipe that nobody reads takes none once full."""
+    try:
+        descriptor = stream.fileno()
+    except (OSError, ValueError):
+        return True  # it is in memory
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return any(event & (select.POLLOUT | select.POLLERR) for _, event in poll.poll(0))
+
+
 _sink: Sink = plain
 _bound = Bound()
+_unwritten = 0  # lines since the last one that was written
 
 
 def use(sink: Sink, bound: Bound | None = None) -> None:
@@ -84,4 +106,22 @@
         return
     if held:
         fields["held_back"] = held
-    _sink(level, event, fields)
+    _write(level, event, fields)
+
+
+def _write(level: str, event: str, fields: dict[str, object]) -> None:
+    """Write a line, or count it as unwritten.
+
+    Guards the callers: a log on a full disk must not end what is being done, nor a pipe that nobody reads hold
+    up the loop.
+    """
+    global _unwritten
+    if _unwritten:
+        fields["unwritten"] = _unwritten
+    try:
+        if not takes_a_line(sys.stderr):
+            raise BlockingIOError
+        _sink(level, event[:LINE_LIMIT], fields)
+        _unwritten = 0
+    except (OSError, ValueError):  # ValueError: the stream is closed
+        _unwritten += 1
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -263,6 +263,7 @@
         loop = asyncio.get_running_loop()
         self.drain.leave(loop.time())
         self.gateway.leave_by(self.drain.words_s - loop.time())
+        self.overlap.begin_leaving()
         self.overlap.look()
         if self.overlap.serving:
             self.stop_listening()  # another process takes what waits and what comes
--- a/sagetrack/ops/overlap.py
+++ b/sagetrack/ops/overlap.py
@@ -12,6 +12,7 @@
 import os
 import re
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -57,22 +58,41 @@
 
     def serve(self) -> None:
         """Say that this process takes clients."""
-        if self.path is not None:
-            self._rename(self.path, "serving")
+        self._mark("serving")
+
+    def begin_leaving(self) -> None:
+        """Say that this process takes clients no longer: another that leaves must not count on it.
+
+        It goes on sharing the limits until its end, as one that starts does.
+        """
+        self._mark("starting")
+
+    def _mark(self, state: str) -> None:
+        """Change what the others see; they see the state before for longer where the folder fails."""
+        if self.path is None:
+            return
+        try:
+            self._rename(self.path, state)
+        except OSError as error:
+            log(f"the mark in {self.folder} cannot be changed: {error.strerror}", "warning")
 
     def _rename(self, old: Path, state: str) -> None:
-        self.path = old.with_name(f"sagetrack-{os.getpid()}.{state}")
-        os.replace(old, self.path)
+        new = old.with_name(f"sagetrack-{os.getpid()}.{state}")
+        os.replace(old, new)
+        self.path = new
 
     def look(self) -> None:
-        """Count the others again; marks of processes that have ended are cleared away."""
+        """Count the others again; marks of processes that have ended are cleared away.
+
+        Where the folder cannot be read, as there is no descriptor for it, the counts stay as they were.
+        """
         if self.folder is None or self.path is None:
             return
         others = serving = 0
         try:
             names = os.listdir(self.folder)
         except OSError:
-            names = []
+            return
         for name in names:
             mark = NAME.fullmatch(name)
             if mark is None or name == self.path.name:
@@ -84,19 +104,21 @@
 
     @staticmethod
     def _is_held(path: Path) -> bool:
+        """Whether a process holds this mark; where that cannot be found out, the mark stands for one."""
         try:
             descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC)
-        except OSError:
+        except FileNotFoundError:
             return False  # renamed or gone meanwhile
+        except OSError:
+            return True
         try:
             fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
-            path.unlink(missing_ok=True)
-        except BlockingIOError:
-            return True
         except OSError:
-            return False
+            return True
         finally:
             os.close(descriptor)
+        with suppress(OSError):
+            path.unlink(missing_ok=True)
         return False
 
     # What a process has heard of the address servers, for the next one
@@ -161,6 +183,7 @@
             self.keep_list(self.news[0], self.news[1]())
         self.news = None
         if self.descriptor is not None and self.path is not None:
-            self.path.unlink(missing_ok=True)
+            with suppress(OSError):  # what is left there has no lock, and the next process clears it away
+                self.path.unlink(missing_ok=True)
             os.close(self.descriptor)
             self.descriptor = self.path = None
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -46,8 +46,11 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
     # Imported late: a signal during the start must find its handler.
+    from sagetrack.core.log import unbuffered
     from sagetrack.ops.startup import Startup
 
+    sys.stderr = unbuffered()
+
     startup = Startup()
     from sagetrack.config.platform import ConfigError, load
 
--- a/tests/test_failing_system.py
+++ b/tests/test_failing_system.py
@@ -76,6 +76,7 @@
             old.send_signal(signal.SIGTERM)
             await until(lambda: old.pid not in marks(tmp_path, "serving"))
             new.send_signal(signal.SIGTERM)
+            await until(lambda: new.pid not in marks(tmp_path, "serving"))  # the signal has come
             async with asyncio.timeout(3.0):
                 for _ in range(4):
                     assert await ask(port, READY) == 503
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -4,6 +4,8 @@
 
 import io
 import json
+import os
+import sys
 from collections.abc import Iterator
 
 import pytest
@@ -57,3 +59,24 @@
 def test_the_plain_line_is_as_it_was(capsys: pytest.CaptureFixture[str]) -> None:
     log("ends; connections to hosts: 3")
     assert capsys.readouterr().err == "sagetrack: ends; connections to hosts: 3\n"
+
+
+def test_a_pipe_that_nobody_reads_holds_nothing_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    reader, writer = os.pipe()
+    with open(writer, "w") as stream, open(reader) as lines:
+        monkeypatch.setattr(sys, "stderr", stream)
+        use(module.plain, Bound(10_000, 10_000))
+        for number in range(2_000):  # more than a pipe holds
+            log(f"line {number}: {'x' * 100}")
+        assert module._unwritten > 0
+        os.set_blocking(reader, False)
+        assert lines.read().startswith("sagetrack: line 0: ")
+        log("read again")
+        assert lines.read().startswith("sagetrack: read again unwritten=")
+
+
+def test_a_stream_that_is_closed_is_no_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    stream = io.StringIO()
+    stream.close()
+    monkeypatch.setattr(sys, "stderr", stream)
+    log("nobody hears this")
