--- a/sagetrack/core/log.py
+++ b/sagetrack/core/log.py
@@ -112,7 +112,7 @@
 def _write(level: str, event: str, fields: dict[str, object]) -> None:
     """Write a line, or count it as unwritten.
 
-    Guards the callers: a log on a full disk must not end what is being done, nor a pipe that nobody reads hold
+    Guards the callers: a log on a full disk must not end what is being done, nor a pipe without a reader hold
     up the loop.
     """
     global _unwritten
--- a/tests/test_failing_system.py
+++ b/tests/test_failing_system.py
@@ -11,6 +11,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+from sagetrack.lab.soak.shim import ACCEPT_ERRORS
 from sagetrack.ops.overlap import Overlap
 from tests.sockets import (
     Exchange, Peer, configuration, endpoint, host_id, list_reply, on_loop, peer, reply, request, running,
@@ -98,3 +99,43 @@
         overlap.leave()
         run.server.overlap = overlap
         assert (await run.ask(request())).status == 200
+
+
+class FailingListener:
+    """A listening socket on which every second call fails, each time with another error."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self.listener, self.calls = listener, 0
+
+    def accept(self) -> tuple[socket.socket, object]:
+        self.calls += 1
+        if self.calls % 2:
+            number = ACCEPT_ERRORS[self.calls // 2 % len(ACCEPT_ERRORS)]
+            raise OSError(number, os.strerror(number))
+        return self.listener.accept()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.listener, name)
+
+
+@on_loop
+async def test_an_accept_that_fails_costs_no_client_its_answer() -> None:
+    """Neither who waits to be accepted nor who was accepted a moment ago and has not spoken yet."""
+    async with peer() as host, running(configuration(host)) as run:
+        assert run.server.listener is not None
+        run.server.listener = FailingListener(run.server.listener)  # type: ignore[assignment]
+        kept = await run.connect()
+        assert (await kept.ask(request())).status == 200
+
+        async def one(number: int) -> int:
+            await asyncio.sleep(number * 0.005)
+            client = await run.connect()
+            await asyncio.sleep(0.05)  # others are accepted meanwhile, or fail to be
+            status = (await client.ask(request())).status
+            client.close()
+            return status
+
+        statuses = await asyncio.gather(*(one(number) for number in range(40)))
+        assert statuses == [200] * 40
+        assert (await kept.ask(request())).status == 200
+        kept.close()
