--- a/sagetrack/core/calls.py
+++ b/sagetrack/core/calls.py
@@ -38,6 +38,11 @@
 class Roster(Protocol):
     """Who tells what servers there are."""
 
+    @property
+    def unheard_us(self) -> int | None:
+        """How long before the list that is being told there was no word of it; None: there was none yet."""
+        ...
+
     def take_known(self, raw: dict[str, Any]) -> None:
         """Begin with the list from before."""
         ...
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -45,7 +45,7 @@
     WatchList,
 )
 
-from sagetrack.core.clock import now_us
+from sagetrack.core.clock import now_us, wall_us
 from sagetrack.core.calls import Entry, Roster
 from sagetrack.core.interfaces import Answer, Attempt, Back, Call, Recorder, Source
 from sagetrack.core.log import log
@@ -276,7 +276,8 @@
             self.trace.note(Step.STATE, "list", changes(entries))
         if self.recorder is not None:
             self.recorder.event(f"list {kind.value}: {changes(entries)}")
-        return ServerList(kind, tuple(entry.listed for entry in entries))
+        listed = tuple(entry.listed for entry in entries)
+        return ServerList(kind, listed, wall_us(), None if self.roster is None else self.roster.unheard_us)
 
     # Actions out
 
--- a/sagetrack/core/hangup.py
+++ b/sagetrack/core/hangup.py
@@ -37,13 +37,17 @@
         self.loop: asyncio.AbstractEventLoop | None = None
 
     def watch(self, descriptor: int, on_hangup: Callable[[], object]) -> None:
-        """Call this once the peer has hung up, which may have been before."""
+        """Call this once the peer has hung up, which may have been before.
+
+        Where the kernel has no room for one more, the peer's end is heard when it is next asked for.
+        """
         if self.loop is None:
             self.loop = asyncio.get_running_loop()
             self.loop.add_reader(self.epoll.fileno(), self.look)
         if descriptor not in self.watched:
-            self.watched[descriptor] = on_hangup
-            self.epoll.register(descriptor, select.EPOLLRDHUP)
+            with suppress(OSError):
+                self.epoll.register(descriptor, select.EPOLLRDHUP)
+                self.watched[descriptor] = on_hangup
 
     def forget(self, descriptor: int) -> None:
         """Watch it no more; before it is closed, as its number may then be another's."""
--- a/sagetrack/decide/interface.py
+++ b/sagetrack/decide/interface.py
@@ -213,6 +213,8 @@
 class ServerList:
     kind: ListKind
     servers: tuple[ListedServer, ...] = ()
+    wall_us: int = 0  # the clock that stamps are read by, as it is now; 0: the proxy's own
+    unheard_us: int | None = None  # how long before it there was no word of the list; None: not known
 
 
 @dataclass(slots=True, frozen=True)
--- a/sagetrack/roster/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -13,6 +13,7 @@
 
 from sagetrack.config.platform import Address, Names, parse_address, stable_id
 from sagetrack.core.calls import Entry, OnList, Reply
+from sagetrack.core.clock import now_us
 from sagetrack.core.deadlines import Watching
 from sagetrack.core.log import log
 
@@ -158,6 +159,7 @@
         self.names, self.on_list, self.connect = names, on_list, connect
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.limits = limits
+        self.heard_us: int | None = None  # the last answer but the one that is being told
         self.failed = True  # no list has come since the last failure
         self.retries = False  # the last call has failed: the next is only to tell whether discovery is back
         self.refused = 0  # calls that it was too busy for, since the last list
@@ -313,8 +315,14 @@
         if changed or self.failed:  # a watch that ends with no news is word only after a failure
             self.failed = False
             self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
+        self.heard_us = now_us()
         self.first.set()
 
+    @property
+    def unheard_us(self) -> int | None:
+        """How long before the list that is being told there was no word of it; None: there was none yet."""
+        return None if self.heard_us is None else now_us() - self.heard_us
+
     def _check_version(self, index: int, whole: bool) -> None:
         """CallError for an answer older than what is known here already, unless that is said twice.
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 from sagetrack.core.drain import LEAVE_ACCEPT_S
 from sagetrack.decide.interface import AttemptEnded, ListKind, Outcome, RequestArrived
 from sagetrack.http.back import HostConnection
-from sagetrack.http.front import PIPELINED
+from sagetrack.http.client import PIPELINED
 from sagetrack.roster.discovery import parse_list
 from tests.sockets import (
     Running,
