--- a/sagetrack/cli/lab.py
+++ b/sagetrack/cli/lab.py
@@ -14,6 +14,7 @@
 
 from sagetrack.cli.cold import cold
 from sagetrack.cli.jams import jams
+from sagetrack.cli.soak import soak
 
 if TYPE_CHECKING:
     from sagetrack.lab.figures import Figures
@@ -27,6 +28,7 @@
 
 app.command("cold")(cold)
 app.command("jams")(jams)
+app.command("soak")(soak)
 
 INTERRUPTED = 130
 SHOWN = 10  # violations that are printed
--- a/sagetrack/http/client.py
+++ b/sagetrack/http/client.py
@@ -28,6 +28,7 @@
 # The same for one that passes through: the kernel takes more only once a third of what it holds has been
 # read, which may be more than a megabyte, and a slow client has done nothing wrong.
 STREAM_STUCK_S = 30.0
+CLIENT_LEFT = "client_left"  # the one reason for an end that is not this process's
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -85,7 +86,7 @@
     def eof_received(self) -> None:
         """The client has gone, though what was written to it may still be flushed."""
         self.drop_calls()
-        self.close("client_left")
+        self.close(CLIENT_LEFT)
 
     def drop_calls(self) -> None:
         """Nothing goes on for a client that has gone, and nothing of what it has sent is taken."""
@@ -150,7 +151,7 @@
             self.on_hangup()
 
     def on_hangup(self) -> None:
-        self.abort("client_left")
+        self.abort(CLIENT_LEFT)
         self.drop_calls()
 
     def has_gone(self) -> bool:
@@ -185,7 +186,7 @@
 
     def note_close(self, reason: str) -> None:
         """Count why this process ends the connection; one that is owed an answer must not be ended."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or reason == CLIENT_LEFT:
             return
         self.server.closed.add(reason)
         owed = self.call is not None and self.source is None and not self.stuck
--- a/sagetrack/lab/soak/shim.py
+++ b/sagetrack/lab/soak/shim.py
@@ -21,7 +21,7 @@
     """The library cannot be had; the message says why, in one line."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class Faults:
     """What fails now: rates are in calls of 1,000."""
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,6 +14,7 @@
 
 from sagetrack.decide.interface import AttemptEnded, AttemptWritten, Outcome, RequestArrived, StreamStarted
 from sagetrack.http import requests as requests_module
+from sagetrack.http import client as client_module
 from sagetrack.http import front as server_module
 from sagetrack.core.bodies import HIGH, LEAST, Allowance, Upload
 from tests.helpers import KEYED, SETTINGS, Driver, finals, sends
@@ -311,8 +312,8 @@
 
 @on_loop
 async def test_a_body_that_comes_too_slowly_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server_module, "BODY_GRACE_S", 0.05)
-    monkeypatch.setattr(server_module, "BODY_RATE", 10_000_000)
+    monkeypatch.setattr(client_module, "BODY_GRACE_S", 0.05)
+    monkeypatch.setattr(client_module, "BODY_RATE", 10_000_000)
     async with sink() as host, running(configuration(host.address)) as run:
         for body in (LONG, LONG[:5_000]):
             client = await run.connect()
@@ -363,7 +364,7 @@
 ) -> None:
     body = bytes(24 * MEGABYTE)
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
-    monkeypatch.setattr(server_module, "STUCK_S", 0.0)  # what limits short answers does not limit long ones
+    monkeypatch.setattr(client_module, "STUCK_S", 0.0)  # what limits short answers does not limit long ones
     async with peer(answers(head + body)) as host, running(configuration(host)) as run:
         client = await run.connect()
         client.send(request())
