A reload of a half-written file is lost: found by the soak, as a failing test

The test: no call to the new address within 4 s. At fault: Reloader._read gives up at once. The soak's clients take an answer that has begun for no lost one, and second answers are written down with their lateness.

--- a/sagetrack/lab/soak/client.py
+++ b/sagetrack/lab/soak/client.py
@@ -43,6 +43,7 @@
     writer: asyncio.StreamWriter
     since_us: int
     used: bool = False
+    answer_begun: bool = False  # its head has come: what does not come whole has failed, and is not lost
 
     @property
     def fresh(self) -> bool:
@@ -134,16 +135,15 @@
         """Whether the answer has come; without one the connection is over."""
         try:
             async with asyncio.timeout(budget_ms / 1000 + PATIENCE_S):
-                message = await read_answer(connection.reader)
+                message = await read_answer(connection)
         except (OSError, asyncio.IncompleteReadError, ValueError) as error:  # a time-out is an OSError
             closed = not isinstance(error, TimeoutError)
-            begun = isinstance(error, asyncio.IncompleteReadError) and bool(error.partial)
-            if begun or isinstance(error, ValueError):  # what has begun and breaks off has failed
-                self.journal.write(Answered(now_us(), call, 502, True))
-            else:
-                self.journal.write(Unanswered(now_us(), call, closed))
+            begun = connection.answer_begun
+            self.journal.write(
+                Answered(now_us(), call, 502, True) if begun else Unanswered(now_us(), call, closed)
+            )
             self.drop()
-            return begun or isinstance(error, ValueError)
+            return begun
         right = message.status != 200 or message.body == body_for(call)
         self.journal.write(Answered(now_us(), call, message.status, right))
         if message.headers.get("connection", "").lower() == "close":
@@ -212,9 +212,12 @@
         self.drop()
 
 
-async def read_answer(reader: asyncio.StreamReader) -> Message:
+async def read_answer(connection: Connection) -> Message:
     """One answer, with a length or in chunks; IncompleteReadError, or ValueError, if it is not whole."""
+    reader = connection.reader
+    connection.answer_begun = False
     head = await reader.readuntil(b"\r\n\r\n")
+    connection.answer_begun = True
     if b"transfer-encoding: chunked" not in head.lower():
         peeked = asyncio.StreamReader()
         peeked.feed_data(head)
--- a/sagetrack/lab/soak/events.py
+++ b/sagetrack/lab/soak/events.py
@@ -75,6 +75,13 @@
     server: int
 
 
+class Second(Event):
+    """A server has sent an answer once more, so long after the first as its machine let it."""
+
+    server: int
+    late_us: int
+
+
 class Misbehaved(Event):
     """A client that sends what cannot be read got neither an error nor a close in time."""
 
@@ -82,7 +89,7 @@
     what: str
 
 
-AnyEvent = Sent | Answered | Unanswered | Left | Begun | Whole | Rejected | Misbehaved
+AnyEvent = Sent | Answered | Unanswered | Left | Begun | Whole | Rejected | Second | Misbehaved
 
 
 class Journal:
--- a/sagetrack/lab/soak/server.py
+++ b/sagetrack/lab/soak/server.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from sagetrack.lab.scripted import Message, read_message
-from sagetrack.lab.soak.events import Journal, Rejected, now_us
+from sagetrack.lab.soak.events import Journal, Rejected, Second, now_us
 
 WORK_S = (0.005, 0.03)
 SLOW_S = (0.3, 0.9)
@@ -82,8 +82,10 @@
                 writer.write(SPOILT)
             case Behaviour.TWICE:
                 writer.write(good)
+                first_us = now_us()
                 await asyncio.sleep(draw.uniform(*SECOND_ANSWER_S))
                 writer.write(good)
+                self.journal.write(Second(now_us(), self.number, now_us() - first_us))
             case Behaviour.UNENDING:
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n")
                 await asyncio.sleep(30.0)
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -164,3 +164,23 @@
         await until(lambda: new.seen)
         process.kill()
         await process.wait()
+
+
+@on_loop
+async def test_a_configuration_that_cannot_be_read_for_a_moment_is_read_again(tmp_path: Path) -> None:
+    """Half written as the signal comes, or no descriptor to open it with: there is no second signal."""
+    async with (
+        peer() as host,
+        peer(silent) as old,
+        peer(lists_once(endpoint("s-9", host.address))) as new,
+        program(tmp_path, configuration(host, discovery=old.address)) as (process, _),
+    ):
+        await until(lambda: old.seen)
+        file = tmp_path / "config.json"
+        whole = json.dumps(json.loads(file.read_text()) | {"discovery": new.address})
+        file.write_text(whole[: len(whole) // 2])
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        file.write_text(whole)
+        async with asyncio.timeout(4.0):  # what it has to tell counts then
+            await until(lambda: new.seen)
