A configuration that cannot be read for a moment is read again, up to eight times

At fault: Reloader._read gives up at the first ConfigError. Change: a file that cannot be read or used is read again after 0.1, 0.2 ... 0.7 s (2.8 s in all; what a new address has to tell counts 4 s after the signal); errors of threads too.

--- a/sagetrack/ops/reload.py
+++ b/sagetrack/ops/reload.py
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     from sagetrack.config.operator import Operator
 
+READINGS = 8  # of a file that cannot be used, for one signal
+AGAIN_S = 0.1  # after the first of them; the pause grows by this with each: 2.8 s in all
+
 OnOperator = Callable[[Config, "Operator"], None]
 
 
@@ -39,9 +42,19 @@
         self.on_keys = on_keys
         self.asked = False
         self.reading: asyncio.Task[None] | None = None
+        self.failed = 0  # readings in a row
+        self.again: asyncio.TimerHandle | None = None  # the next one, after a failure
 
     def ask(self) -> None:
+        """Read it: there is word that it has changed."""
+        self.failed = 0
+        self._ask()
+
+    def _ask(self) -> None:
         self.asked = True
+        if self.again is not None:
+            self.again.cancel()
+            self.again = None
         if self.reading is None:
             self.reading = asyncio.get_running_loop().create_task(self._read())
 
@@ -56,12 +69,26 @@
                     self.on_keys()
                 if self.operator is not None and self.on_operator is not None:
                     self.on_operator(config, await asyncio.to_thread(read_again, self.operator))
-        except ConfigError as error:
-            log(f"all stays as it is: {error}")
+                self.failed = 0
+        except (ConfigError, OSError, RuntimeError) as error:  # RuntimeError: there is no thread to be had
+            self.fail(error)
         finally:
             self.reading = None
             if self.asked:
-                self.ask()
+                self._ask()
+
+    def fail(self, error: Exception) -> None:
+        """Read it again soon, some times: the signal may have come before the file was whole.
+
+        Guards against a change of discovery that is never heard of, as a disk, a descriptor or a thread was
+        wanting for a moment. What it has to tell counts seconds after the signal.
+        """
+        if not self.failed:
+            log(f"all stays as it is: {error}")
+        self.failed += 1
+        if self.failed < READINGS and not self.asked:
+            loop = asyncio.get_running_loop()
+            self.again = loop.call_later(AGAIN_S * self.failed, self._ask)
 
     def take(self, config: Config) -> None:
         """Apply what may change while the program runs: the address of discovery."""
