--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -203,8 +203,7 @@
     controlled: float  # the controller's weight: see `weight`
     rank: float  # a hash of it: its place in the ring, the same at every proxy
     near: float  # 1 in this proxy's zone, less in others the more a crossing costs
-    began_us: int  # its present life, on this proxy's clock; 0: long ago
-    warm_at_us: int  # at the latest
+    warm_at_us: int  # at the latest, on this proxy's clock
     breaker: Breaker = field(default_factory=Breaker)
     parts: dict[int, Part] = field(default_factory=dict)  # by class
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
@@ -299,6 +298,7 @@
         self.actions: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.lives = Lives()
+        self.listing = ServerList(ListKind.DISK)  # the list that is being taken
         self.weights = ExactSum()  # the controller's, of all these
         self.ring = Ring[Server](settings.proxy, settings.proxies)  # those that are ready
         self.ranked = self.ring.ranked  # by rank: the subset is the first of them that may be used
@@ -1210,7 +1210,7 @@
         """Share of its capacity that a server surely has by now."""
         if self.now_us >= server.warm_at_us:
             return 1.0
-        age_us = self.now_us - server.began_us
+        age_us = self.now_us + self.settings.warm_after_us - server.warm_at_us
         start = self.settings.start_capacity
         return start + (1.0 - start) * age_us / self.settings.warm_after_us
 
@@ -1235,7 +1235,8 @@
             changed = self.servers.keys() - {entry.server for entry in event.servers}
             for number in changed:
                 self.forget(self.servers.pop(number))
-        changed |= {entry.server for entry in event.servers if self.list_server(entry, event)}
+        self.listing = event
+        changed |= {entry.server for entry in event.servers if self.list_server(entry)}
         # From its own place on, each at an even distance from the next: chance would send many proxies to
         # some servers and few to others.
         self.ring.change({number: self.place_of(number) for number in changed})
@@ -1248,18 +1249,20 @@
         scopes = (Scope.ZONE, server.entry.zone), (Scope.GROUP, server.entry.group)
         return Place(server.rank, server, scopes)
 
-    def began_us(self, entry: ListedServer, event: ServerList) -> int:
-        """When a life that was not listed until now began.
+    def warms_by_us(self, entry: ListedServer) -> int:
+        """When a server that was not listed in this life until now is warm.
 
         A change that is pushed is word of what has just happened; a whole list may hold what was missed.
         """
+        event = self.listing
         unheard_us = event.unheard_us
         if unheard_us is None and event.kind is ListKind.DELTA and self.settings.list_is_pushed:
             unheard_us = 0
         wall_us = event.wall_us or self.now_us
-        return self.lives.began_us(entry.server, entry.started_us, self.now_us, wall_us, unheard_us)
+        began_us = self.lives.began_us(entry.server, entry.started_us, self.now_us, wall_us, unheard_us)
+        return began_us + self.settings.warm_after_us
 
-    def list_server(self, entry: ListedServer, event: ServerList) -> bool:
+    def list_server(self, entry: ListedServer) -> bool:
         """Take one entry; False if nothing follows from it that was not so before."""
         known = self.servers.get(entry.server)
         if known is not None and known.entry == entry:
@@ -1272,9 +1275,8 @@
             mean = min(CEILING, max(FLOOR, self.weights.total / others)) if others else CEILING
             near = self.nearness(entry)
             rank = rendezvous(0, entry.server, 1.0)
-            began_us = self.began_us(entry, event)
-            warm_at_us = began_us + self.settings.warm_after_us if began_us else 0
-            server = Server(entry, 0.0, rank, near, began_us, warm_at_us, spent_at_us=self.now_us)
+            warm_at_us = self.warms_by_us(entry) if entry.started_us else 0
+            server = Server(entry, 0.0, rank, near, warm_at_us, spent_at_us=self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
             first_us = max(*self.smoothed, self.fall_budget_us() / 2)
--- a/sagetrack/decide/lives.py
+++ b/sagetrack/decide/lives.py
@@ -22,13 +22,11 @@
         self.began: OrderedDict[Life, int] = OrderedDict()
 
     def began_us(self, server: int, stamp_us: int, now_us: int, wall_us: int, unheard_us: int | None) -> int:
-        """When this life began, at most now; 0 for long ago.
+        """When this life began, at most now.
 
         `wall_us`: Unix time here as the stamp was read. `unheard_us`: for how long before now there was no
         word of the list, where it was heard of without this life; None where nothing was heard.
         """
-        if not stamp_us:
-            return 0
         life = server, stamp_us
         began_us = self.began.get(life)
         if began_us is None:
--- a/sagetrack/lab/soak/events.py
+++ b/sagetrack/lab/soak/events.py
@@ -34,7 +34,7 @@
     """A client has read the last byte of an answer."""
 
     call: str
-    status: int
+    status: int  # 0: it has begun and did not come whole, as the client can tell
     right: bool  # the body is the one made for this request, or the answer is no 200
 
 
