Starts on a machine that fails for a moment: three failing tests

At fault: asyncio's create_server passes over a socket that cannot be made, so that Admin.start ends well without one; ops/listen.bind, platform.load end the start at the first error; ops/process prints without care.

--- /dev/null
+++ b/tests/test_failing_start.py
@@ -0,0 +1,79 @@
+"""A start on a machine that fails for a moment: the process waits for it, and serves."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from sagetrack.lab.measure import free_port
+from sagetrack.lab.soak.shim import NONE, Control, Faults, build
+from tests.sockets import configuration, on_loop, peer, request, until
+from tests.test_gateway_process import READY, ROOT, ask
+
+MOMENT_S = 0.6
+
+
+@asynccontextmanager
+async def failing(folder: Path, faults: Faults, address: str) -> AsyncIterator[tuple[int, int]]:
+    """A process whose system calls fail from its first one on, for a moment; its two ports."""
+    control = Control(folder / "control", 1)
+    control.set(faults)
+    port, admin = free_port(), free_port()
+    file = folder / "config.json"
+    file.write_text(json.dumps(configuration(address) | {"listen": f"127.0.0.1:{port}"}))
+    names = {"LB_CONFIG": str(file), "LB_ADMIN": f"127.0.0.1:{admin}", "TMPDIR": str(folder)}
+    names |= control.environment(build(folder))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "sagetrack", cwd=ROOT, env=os.environ | names,
+        stderr=asyncio.subprocess.DEVNULL,
+    )  # fmt: skip
+    try:
+        await until(lambda: control.failed or process.returncode is not None)
+        await asyncio.sleep(MOMENT_S)
+        control.set(NONE)
+        yield port, admin
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def becomes_ready(port: int, admin: int) -> None:
+    async with asyncio.timeout(8.0):
+        while await ask(port, READY) != 200:
+            await asyncio.sleep(0.05)
+        reader, writer = await asyncio.open_connection("127.0.0.1", admin)
+        writer.write(b"status\n")
+        assert (await reader.read()).startswith(b"SUCCESS")
+        writer.close()
+
+
+@on_loop
+async def test_sockets_that_cannot_be_had_for_a_moment_are_asked_for_again(tmp_path: Path) -> None:
+    async with peer() as host, failing(tmp_path, Faults(socket_rate=1000), host.address) as (port, admin):
+        await becomes_ready(port, admin)
+        assert await ask(port, request()) == 200
+
+
+@on_loop
+async def test_a_configuration_that_cannot_be_opened_for_a_moment_is_opened_again(tmp_path: Path) -> None:
+    async with peer() as host, failing(tmp_path, Faults(file_rate=1000), host.address) as (port, admin):
+        await becomes_ready(port, admin)
+        assert await ask(port, request()) == 200
+
+
+@on_loop
+async def test_a_bad_configuration_ends_with_2_though_nobody_can_be_told(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text("no JSON")
+    with open("/dev/full", "w") as full:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sagetrack", cwd=ROOT, stderr=full,
+            env=os.environ | {"LB_CONFIG": str(file)},
+        )  # fmt: skip
+        assert await process.wait() == 2
