A start waits for sockets, descriptors and a disk that are wanting for a moment

The second address listens on a socket that was made before, and the fronts of the other protocols end the start when they have none. What a start has to say before it ends is said where that is possible.

--- a/sagetrack/config/platform.py
+++ b/sagetrack/config/platform.py
@@ -5,7 +5,7 @@
 import hashlib
 import json
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -55,14 +55,20 @@
     return int.from_bytes(hashlib.blake2b(data, digest_size=size).digest())
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """Read the file that LB_CONFIG names."""
+def read_file(path: str) -> bytes:
+    with open(path, "rb") as file:
+        return file.read()
+
+
+def load(
+    environment: Mapping[str, str] = os.environ, read: Callable[[str], bytes] = read_file
+) -> Config:
+    """Read the file that LB_CONFIG names; `read` may have its own way with errors of the disk."""
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        with open(path, "rb") as file:
-            raw = json.load(file)
+        raw = json.loads(read(path))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
--- a/sagetrack/dns/front.py
+++ b/sagetrack/dns/front.py
@@ -14,6 +14,7 @@
 
 from sagetrack.config.platform import Address
 from sagetrack.core.clock import now_us
+from sagetrack.core.transient import check_listens
 from sagetrack.core.gateway import Gateway
 from sagetrack.core.interfaces import Call, Source
 from sagetrack.dns.cache import STALE_TTL_S, Cache, Hit, Subject
@@ -122,7 +123,7 @@
             tcp = await self.loop.create_server(
                 lambda: TcpClient(self), host, port, backlog=256, reuse_port=shared
             )
-            self.tcp.append(tcp)
+            self.tcp.append(check_listens(tcp))
             port = tcp.sockets[0].getsockname()[1]
             udp, _ = await self.loop.create_datagram_endpoint(
                 lambda: UdpFront(self), (host, port), reuse_port=shared
--- a/sagetrack/h2/front.py
+++ b/sagetrack/h2/front.py
@@ -21,6 +21,7 @@
 from sagetrack.core.bodies import LARGE_LIMIT, Allowance, Upload
 from sagetrack.core.calls import Header, Reply
 from sagetrack.core.clock import now_us
+from sagetrack.core.transient import check_listens
 from sagetrack.core.gateway import Gateway
 from sagetrack.core.interfaces import Call, Client, Source
 from sagetrack.core.hangup import hung_up
@@ -421,7 +422,7 @@
             server = await loop.create_server(
                 lambda: ClientLine(self), host, port, ssl=secured, backlog=256, reuse_port=shared
             )
-            self.servers.append(server)
+            self.servers.append(check_listens(server))
         self.sweep()
         return [server.sockets[0].getsockname()[:2] for server in self.servers]
 
--- a/sagetrack/ops/admin.py
+++ b/sagetrack/ops/admin.py
@@ -11,6 +11,8 @@
 from typing import Protocol, cast
 
 from sagetrack.config.platform import Address
+from sagetrack.core.transient import persist
+from sagetrack.ops.listen import bind
 
 LINE_LIMIT = 256  # bytes
 CALLERS = 12  # connections at once; the oldest yields to the next
@@ -59,8 +61,13 @@
         }
 
     async def start(self, address: Address) -> None:
+        """Listen there; the error if that cannot be, also for a while.
+
+        Guards against a server without a socket: asyncio passes over one that cannot be made.
+        """
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
+        listener = await persist(lambda: bind(address, BACKLOG))
+        self.server = await loop.create_server(lambda: Caller(self), sock=listener, backlog=BACKLOG)
 
     def answer(self, line: bytes) -> bytes:
         try:
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -10,6 +10,7 @@
 from sagetrack.core.calls import Entry
 from sagetrack.core.clock import now_us
 from sagetrack.core.deadlines import watching
+from sagetrack.core.transient import persist
 from sagetrack.decide.interface import ListKind, Shares
 from sagetrack.http.back import Pools
 from sagetrack.http.front import Server
@@ -107,7 +108,9 @@
         )
         self.discovery.on_news = overlap.hand_on
         descriptor = config.accept_fd
-        listener: socket.socket = bind(config.listen) if descriptor is None else inherit(descriptor)
+        listener: socket.socket = (
+            await persist(lambda: bind(config.listen)) if descriptor is None else inherit(descriptor)
+        )
         self.server.prepare(self.discovery)
         part("list")
         await self.discovery.has_asked()
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,6 +17,12 @@
     os._exit(0)
 
 
+def say(line: str) -> None:
+    """One plain line on standard error, if it can be written."""
+    with suppress(OSError):
+        print(f"sagetrack: {line}", file=sys.stderr)
+
+
 def _take_operators(path: str, gateway: str) -> Operator | None:
     """Read the operator's file and log as it says; None, and a line for each fault, if it cannot be used."""
     from sagetrack.config.checked import FileError
@@ -25,7 +32,7 @@
         operator = load(path)
     except FileError as error:
         for fault in error.faults:
-            print(f"sagetrack: {fault}", file=sys.stderr)
+            say(str(fault))
         return None
     log = operator.log
     from sagetrack.core.log import Bound, levels_from, plain, use
@@ -52,13 +59,14 @@
     sys.stderr = unbuffered()
 
     startup = Startup()
-    from sagetrack.config.platform import ConfigError, load
+    from sagetrack.config.platform import ConfigError, load, read_file
+    from sagetrack.core.transient import persist_before_loop
 
     startup.done("imports")
     try:
-        config = load()
+        config = load(read=lambda path: persist_before_loop(lambda: read_file(path)))
     except ConfigError as error:
-        print(f"sagetrack: {error}", file=sys.stderr)
+        say(str(error))
         return 2
     operator = None
     if operators := os.environ.get("LB_OPERATOR"):
