--- a/sagetrack/http/client.py
+++ b/sagetrack/http/client.py
@@ -12,6 +12,7 @@
 from sagetrack.core.hangup import hung_up
 from sagetrack.core.interfaces import Call, Source
 from sagetrack.core.permission import ClientState, Closing, Denial, may_close
+from sagetrack.core.trace import Step
 from sagetrack.core.violations import Rule
 from sagetrack.http.http1 import end_to_end
 from sagetrack.http.requests import Request, RequestError, RequestReader, read_call
@@ -28,6 +29,7 @@
 # The same for one that passes through: the kernel takes more only once a third of what it holds has been
 # read, which may be more than a megabyte, and a slow client has done nothing wrong.
 STREAM_STUCK_S = 30.0
+ORDINARY = frozenset({"answered", "idle"})  # reasons for closing that need no trace
 CLIENT_LEFT = "client_left"  # the one reason for an end that is not this process's
 NOT_PASSED_BACK = frozenset({b"x-load-report", b"x-rejected"})
 REASONS = {
@@ -189,6 +191,8 @@
         if self.transport is None or self.transport.is_closing() or reason == CLIENT_LEFT:
             return
         self.server.closed.add(reason)
+        if reason not in ORDINARY:
+            self.server.gateway.trace.note(Step.CLOSED, self.call.id if self.call is not None else "", reason)
         owed = self.call is not None and self.source is None and not self.stuck
         if owed and self.call is not None and not self.has_gone():
             self.server.gateway.violations.note(Rule.CLOSED, self.call.id, reason)
--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -17,6 +17,7 @@
 from sagetrack.core.log import log
 from sagetrack.core.metrics import Reasons
 from sagetrack.core.permission import FIRST_REQUEST_S, OVERDUE_S, Closing, may_take_clients
+from sagetrack.core.trace import Step
 from sagetrack.http.back import Pools
 from sagetrack.http.client import ClientConnection, Phase
 
@@ -257,16 +258,22 @@
     def peers(self) -> str:
         return "".join(f"{line}\n" for line in self.describe_peers())
 
+    def trace(self) -> str:
+        return "".join(f"{line}\n" for line in self.gateway.trace.lines())
+
     def standby(self) -> bool:
         """Begin a drain, which lasts until `active`."""
         begun = self.drain.standby(asyncio.get_running_loop().time())
+        self.gateway.trace.note(Step.STATE, "process", self.drain.phase.value)
         if begun and self.drainer is None:
             self.close_idle()
         return begun
 
     def active(self) -> bool:
         """End a drain."""
-        return self.drain.active(asyncio.get_running_loop().time())
+        ended = self.drain.active(asyncio.get_running_loop().time())
+        self.gateway.trace.note(Step.STATE, "process", self.drain.phase.value)
+        return ended
 
     async def leave(self) -> None:
         """The way out: every request that was taken, or waits to be accepted, is answered first.
@@ -276,6 +283,7 @@
         """
         loop = asyncio.get_running_loop()
         self.drain.leave(loop.time())
+        self.gateway.trace.note(Step.STATE, "process", self.drain.phase.value)
         self.gateway.leave_by(self.drain.words_s - loop.time())
         self.overlap.begin_leaving()
         self.overlap.look()
--- a/sagetrack/ops/admin.py
+++ b/sagetrack/ops/admin.py
@@ -36,6 +36,10 @@
         """Other gateways as this one sees them, a line each."""
         ...
 
+    def trace(self) -> str:
+        """The last things out of the ordinary, a line each, the oldest first."""
+        ...
+
     def standby(self) -> bool:
         """Drain; False if that can't be."""
         ...
@@ -57,6 +61,7 @@
             "stats": lambda: f"SUCCESS\n{operations.stats()}EOT\n",
             "standby": lambda: _said(operations.standby(), "drains", "is on its way out"),
             "peers": lambda: f"SUCCESS\n{operations.peers()}EOT\n",
+            "trace": lambda: f"SUCCESS\n{operations.trace()}EOT\n",
             "active": lambda: _said(operations.active(), "takes clients", "is on its way out"),
         }
 
--- a/sagetrack/ops/instance.py
+++ b/sagetrack/ops/instance.py
@@ -91,6 +91,7 @@
         on_list = self.on_http if self.split is None else self.on_list
         limits = watching(config.settings)
         self.discovery = Discovery(config.discovery, config.names, on_list, pushed, _ask_discovery, limits)
+        self.gateway.metrics.more.append(self.discovery.calls.figures)
 
     async def start(self) -> None:
         """Begin to take clients; OSError or ConfigError if the listening socket cannot be had.
--- a/sagetrack/roster/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -16,6 +16,7 @@
 from sagetrack.core.clock import now_us
 from sagetrack.core.deadlines import Watching
 from sagetrack.core.log import log
+from sagetrack.core.metrics import Reasons
 
 LIST = b"/registry/instances"
 REFUSED_TWICE = 2  # in a row, whatever else failed between: it has too many calls, and cannot be reached yet
@@ -159,6 +160,8 @@
         self.names, self.on_list, self.connect = names, on_list, connect
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.limits = limits
+        self.calls = Reasons("discovery_calls_total", "outcome", ())
+        self.away_since_us: int | None = None  # the first of the calls in a row that have failed
         self.heard_us: int | None = None  # the last answer but the one that is being told
         self.failed = True  # no list has come since the last failure
         self.retries = False  # the last call has failed: the next is only to tell whether discovery is back
@@ -274,6 +277,9 @@
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
             late = isinstance(error, TimeoutError)
+            self.calls.add("late" if late else "failed")
+            if self.away_since_us is None:
+                self.away_since_us = now_us()
             log(f"discovery: {'no answer in time' if late else error or type(error).__name__}")
             self.failed = self.retries = True
             self.on_list(ListKind.ERROR, [])
@@ -308,6 +314,10 @@
         raw = json.loads(reply.body)
         index, whole, entries = parse_list(raw, self.names)
         self._check_version(index, whole)
+        self.calls.add("whole" if whole else "changes" if entries else "no_news")
+        if self.away_since_us is not None:
+            log(f"discovery: answers again, after {(now_us() - self.away_since_us) / 1e6:.2f} s")
+            self.away_since_us = None
         changed = whole or bool(entries) or index != self.index
         self.index, self.newest, self.retries, self.refused = index, index, False, 0
         if changed:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -142,6 +143,9 @@
         host.script = answers(reply(503, b"", "X-Rejected: 1"))  # last: what follows may be shed
         assert (await run.ask(request("hold"))).status == 503
         told = figures(await call(port, b"stats\n"))
+        calls = {name for name in told if name.startswith("svc_discovery_calls_total")}
+        assert calls <= {'svc_discovery_calls_total{outcome="failed"}'}  # nobody answers there
+        told = {name: count for name, count in told.items() if name not in calls}
         reasons = {name: told.pop(name) for name in list(told) if name.partition("{")[0] in BY_REASON}
         assert {name: count for name, count in reasons.items() if count} == {
             'svc_attempts_total{outcome="ok"}': 3, 'svc_attempts_total{outcome="error"}': 1,
@@ -228,3 +232,17 @@
         _, errors = await process.communicate()
         assert process.returncode == 1 and errors.count(b"\n") == 1
         assert errors.startswith(f"sagetrack: cannot listen on {host.address}".encode())
+
+
+@on_loop
+async def test_the_trace_tells_what_became_of_a_call() -> None:
+    failing = answers(reply(500))
+    async with peer(failing) as host, running(configuration(host)) as run, second_address(run) as port:
+        assert (await run.ask(request("transfer", x_call_id="one-that-fails"))).status == 502
+        run.server.standby()
+        lines = (await call(port, b"trace\n")).decode().splitlines()
+    assert lines[0] == "SUCCESS" and lines[-1] == "EOT"
+    assert any("attempt_failed one-that-fails 0 at server" in line and "error" in line for line in lines)
+    assert any(line.endswith("failed one-that-fails") for line in lines)
+    assert any(line.endswith("state process standby") for line in lines)
+    assert abs(float(lines[1].split()[0]) - time.time()) < 60
