What a process hands to the next one is lost where the wall clock was stepped between: a failing test

Seen: of a note that the older process left, a process whose clock began 3,600 s ahead or behind takes nothing (it counts as stale, or as written later than now). At fault: Handover writes and reads times of now_us, whose line begins with the wall clock.

--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from pathlib import Path
 
-from sagetrack.decide.interface import ListedServer, ListKind, Send, ServerList
+import pytest
+
+import sagetrack.ops.fellowship as fellowship
+from sagetrack.core import clock
+from sagetrack.decide.interface import Learned, ListedServer, ListKind, Send, ServerList
+from sagetrack.ops.fellowship import Handover
+from sagetrack.ops.overlap import Overlap
 from tests.helpers import SETTINGS, Driver
+from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
 
 WARM_S = 20
 COLD = replace(
@@ -62,3 +70,41 @@
     driver.now_us += 5_000_000
     driver.handle(ServerList(ListKind.DELTA, (ListedServer(RESTARTED, started_us=began_us),)))
     assert share_of_restarted(driver, 10.0) > 0.7
+
+
+@pytest.mark.parametrize("step_s", [3_600, -3_600])
+@on_loop
+async def test_what_a_process_hands_on_is_as_old_as_it_is_after_a_step(
+    step_s: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each process begins its own line at its start, with the wall clock as it is then."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        overlap = Overlap(str(tmp_path))
+        overlap.join()
+        old = Handover(overlap, run.instance.config, run.gateway)
+        client = await run.connect()
+        client.send(request())
+        await until(lambda: host.seen)
+        host.seen[0].answer(reply())
+        await client.answer()
+        old.leave_note()
+        learned: list[Learned] = []
+        handle = run.gateway.balancer.handle
+
+        def listen(now_us: int, event: object) -> object:
+            if isinstance(event, Learned):
+                learned.append(event)
+            return handle(now_us, event)  # type: ignore[arg-type]
+
+        run.gateway.balancer.handle = listen  # type: ignore[method-assign,assignment]
+        later = clock.now_us
+        monkeypatch.setattr(fellowship, "now_us", lambda: later() + step_s * 1_000_000)
+        new = Handover(overlap, run.instance.config, run.gateway)
+        new.take()
+        (event,) = learned
+        age_us = later() + step_s * 1_000_000 - event.sights[0].seen_us
+        assert 0 <= age_us < 5_000_000
+        for handover in (old, new):
+            handover.close()
+        overlap.leave()
+        client.close()
