What a process hands on has times of the machine's own line, which no step moves

Change: the note's times are of CLOCK_MONOTONIC, which both processes share; each puts them on its own line. A note of the form before is passed over, as any other version's is. Not changed: the store's times, which have to outlast a boot (docs/incidents).

--- a/sagetrack/ops/fellowship.py
+++ b/sagetrack/ops/fellowship.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sagetrack.config.platform import Address, Config, ConfigError, parse_address
-from sagetrack.core.clock import now_us
+from sagetrack.core.clock import machine_us, now_us
 from sagetrack.core.log import log
 from sagetrack.decide.interface import Learned
 from sagetrack.core.gateway import Gateway
@@ -98,22 +98,25 @@
             self.leave_note()
 
     def take(self) -> None:
-        from sagetrack.peers.handover import read
+        from sagetrack.peers.handover import moved, read
 
-        note = read(self.folder, self.config.name, now_us())
+        note = read(self.folder, self.config.name, machine_us())
         if note is None or note.written_us <= self.written_us:
             return
         self.written_us = note.written_us
         if not self.taken:
             log(f"took over what the process before knew of {len(note.sights)} servers")
         self.taken += len(note.sights)
-        event = Learned(tuple(note.sights), tuple(note.latencies))
+        sights = moved(note.sights, now_us() - machine_us())
+        event = Learned(tuple(sights), tuple(note.latencies))
         self.gateway.post(lambda: event)
 
     def leave_note(self) -> None:
-        from sagetrack.peers.handover import write
+        from sagetrack.peers.handover import moved, write
 
-        write(self.folder, self.config.name, now_us(), *self.gateway.balancer.sights())
+        sights, latencies = self.gateway.balancer.sights()
+        on_machine = moved(sights, machine_us() - now_us())
+        write(self.folder, self.config.name, machine_us(), on_machine, latencies)
 
     def close(self) -> None:
         self.timer.cancel()
--- a/sagetrack/peers/handover.py
+++ b/sagetrack/peers/handover.py
@@ -1,8 +1,8 @@
 """What a process leaves for the next one of the same gateway on the same machine: one file in $TMPDIR.
 
 It is written whole under another name first and renamed, with a checksum; what is torn, stale, of another
-version or of another gateway is passed over. Times are readings of the machine's clock, which both processes
-share.
+version or of another gateway is passed over. Times are of the machine's own line (`clock.machine_us`), which
+both processes share and no step of the wall clock moves.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import os
 import zlib
 from collections.abc import Iterable
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
@@ -18,7 +19,7 @@
 from sagetrack.decide.knowledge import Latency, Sight
 
 FILE = "sagetrack-knowledge.bin"
-MAGIC = b"SGTK1"
+MAGIC = b"SGTK2"  # 1 had times of the writer's own line
 LIMIT = 1024 * 1024  # bytes: files count as memory
 STALE_US = 60_000_000
 
@@ -32,6 +33,14 @@
     latencies: list[Latency]
 
 
+def moved(sights: Iterable[Sight], by_us: int) -> list[Sight]:
+    """The same sights with their times on another line, which is so far ahead."""
+    return [
+        replace(sight, seen_us=sight.seen_us + by_us, open_until_us=sight.open_until_us + by_us)
+        for sight in sights
+    ]
+
+
 def write(
     folder: Path, gateway: str, now_us: int, sights: Iterable[Sight], latencies: Iterable[Latency]
 ) -> bool:
