A process with fewer descriptors than it is told serves nobody: a failing test

Seen: ulimit -n 64 under a configuration of 512, 100 idle clients: of 60 requests 21 refused, 39 without an answer in 3 s, 0 served (60 served at 512). accept and socket answer EMFILE for good, and by its own count the process is far from full. At fault: Server.sockets takes the configuration's number.

--- a/tests/test_failing_system.py
+++ b/tests/test_failing_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -17,7 +18,7 @@
     Exchange, Peer, configuration, endpoint, host_id, list_reply, on_loop, peer, reply, request, running,
     silent, until,
 )  # fmt: skip
-from tests.test_gateway_process import READY, ask, connect
+from tests.test_gateway_process import READY, ROOT, ask, connect, free_port
 from tests.test_gateway_upgrade import marks, start
 
 
@@ -139,3 +140,27 @@
         assert statuses == [200] * 40
         assert (await kept.ask(request())).status == 200
         kept.close()
+
+
+@on_loop
+async def test_a_process_that_may_hold_fewer_descriptors_than_it_is_told_serves(tmp_path: Path) -> None:
+    """The shell's limit is lower than the configuration's, and idle clients would use it up."""
+    port = free_port()
+    async with peer() as host:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(host) | {"listen": f"127.0.0.1:{port}"}))
+        process = await asyncio.create_subprocess_shell(
+            f"ulimit -n 64; exec {sys.executable} -m sagetrack", cwd=ROOT,
+            env=os.environ | {"LB_CONFIG": str(file)}, stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            while await ask(port, READY) != 200:
+                assert process.returncode is None
+                await asyncio.sleep(0.02)
+            idle = [await connect(port) for _ in range(100)]
+            assert [await ask(port, request()) for _ in range(10)] == [200] * 10
+            for client in idle:
+                client.close()
+        finally:
+            process.kill()
+            await process.wait()
