A process keeps to the descriptors that it may hold, where the configuration allows it more

Change: the process raises its own limit to what is configured, as far as its hard limit goes, and counts with what it gets; a line in the log tells of a difference.

--- a/sagetrack/http/front.py
+++ b/sagetrack/http/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import resource
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -41,6 +42,24 @@
 HOSTS_SHARE = 0.35  # of the rest that clients leave to hosts
 
 
+def descriptor_limit(wanted: int) -> int:
+    """How many descriptors this process may hold, raised to so many where its own hard limit allows that."""
+    try:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except OSError:
+        return wanted
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return wanted
+    allowed = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
+    except (OSError, ValueError):
+        allowed = soft
+    if allowed < wanted:
+        log(f"{wanted} descriptors are configured, and this process may hold {allowed}", "warning")
+    return allowed
+
+
 class Server:
     """All connections of clients."""
 
@@ -65,6 +84,7 @@
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.drainer: asyncio.TimerHandle | None = None
+        self.own_limit = descriptor_limit(config.sockets)
         self.exhausted = 0  # calls of accept in a row for which there was no descriptor or memory
         self.accept_errors = Reasons("accept_errors_total", "error", ())
         self.closed = Reasons("client_closes_total", "reason", ())  # by this process
@@ -162,7 +182,7 @@
     @property
     def sockets(self) -> int:
         """Descriptors that this process may hold: the limit is for all processes of the gateway together."""
-        return self.config.sockets // (1 + self.overlap.others)
+        return min(self.config.sockets // (1 + self.overlap.others), self.own_limit)
 
     @property
     def most(self) -> int:
