--- a/sagetrack/lab/measure.py
+++ b/sagetrack/lab/measure.py
@@ -20,8 +20,8 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def free_port() -> int:
-    """A TCP port of loopback that nobody holds just now."""
-    with socket.socket() as probe:
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """A port of loopback, of TCP or of this kind of socket, that nobody holds just now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
