--- a/sagetrack/lab/soak/oracle.py
+++ b/sagetrack/lab/soak/oracle.py
@@ -122,7 +122,9 @@
 
 
 def _excused(gateway: int, sent_us: int, until_us: int, history: History) -> bool:
-    """Whether the gateway was killed under a request, or was told to end too long before it."""
+    """Whether the gateway was killed under a request, or was told to end too long before it, or was down."""
+    if any(of == gateway and killed <= sent_us <= up for of, killed, up in history.down):
+        return True
     if any(of == gateway and sent_us - S // 5 <= at_us <= until_us for of, at_us in history.kills):
         return True
     spared_us = int(TERM_TAKES_S * S)
--- a/sagetrack/lab/soak/run.py
+++ b/sagetrack/lab/soak/run.py
@@ -33,7 +33,7 @@
 READY_S = 15.0
 LEAVE_S = 3.7  # after SIGTERM, until the platform kills
 WEIGHTS = {"plain": 60.0, "leave": 12.0, "pipeline": 8.0, "slow": 8.0, "rest": 8.0, "bad": 4.0}
-DOWN_US = 4_000_000  # before a start, in which the process before may have taken nothing
+TERM_TAKES_US = 700_000  # after SIGTERM a process takes what comes for so long
 HOLD_S = 0.12  # a gateway is stopped for
 STATUS = b"status\n"
 
@@ -175,6 +175,7 @@
         self.servers: dict[int, asyncio.subprocess.Process] = {}
         self.others: list[asyncio.subprocess.Process] = []
         self.proxy: asyncio.subprocess.Process | None = None
+        self.ended_us: dict[int, int] = {}  # when a gateway's last process took nothing any more
         self.busy: set[int] = set()  # servers that are withdrawn or down
 
     async def party(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
@@ -327,6 +328,7 @@
                 await self.between(trouble, "stall", "flow")
 
     async def kill(self, gateway: Gateway) -> None:
+        self.ended_us[gateway.number] = now_us()
         for process in gateway.processes:
             self.history.kills.append((gateway.number, now_us()))
             gateway.signal(process, signal.SIGKILL)
@@ -340,7 +342,8 @@
         process = await gateway.start()
         ready = await gateway.until_ready(process)
         if not beside:
-            self.history.down.append((gateway.number, since_us - DOWN_US, now_us()))
+            ended_us = self.ended_us.get(gateway.number, since_us)
+            self.history.down.append((gateway.number, ended_us, now_us()))
         if not ready and process.pid not in gateway.expected:
             self.history.crashes.append(f"gateway {gateway.number} was not ready after a restart")
 
@@ -358,6 +361,7 @@
     async def term(self, gateway: Gateway) -> None:
         await self.count(gateway)
         self.history.terms.append((gateway.number, now_us()))
+        self.ended_us[gateway.number] = now_us() + TERM_TAKES_US
         await self.leave(gateway, gateway.processes[-1])
         await self.restart(gateway)
 
@@ -371,6 +375,7 @@
         if crossed:
             await asyncio.sleep(0.2)
             self.history.terms.append((gateway.number, now_us()))
+            self.ended_us[gateway.number] = now_us() + TERM_TAKES_US
             await asyncio.gather(leaving, self.leave(gateway, new))
             await self.restart(gateway)
         await leaving
