--- a/sagetrack/roster/discovery.py
+++ b/sagetrack/roster/discovery.py
@@ -276,22 +276,31 @@
             # Whatever it is: a call that ends without a word would never be made again.
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
-            late = isinstance(error, TimeoutError)
-            self.calls.add("late" if late else "failed")
-            if self.away_since_us is None:
-                self.away_since_us = now_us()
-            log(f"discovery: {'no answer in time' if late else error or type(error).__name__}")
+            self._watch_again_soon()
+            self._note_failure(error)
             self.failed = self.retries = True
             self.on_list(ListKind.ERROR, [])
-            if self.pushed:
-                # The whole list next, which costs nothing here: whatever was missed, it is in there.
-                self.index = None
-                wait_s = self.limits.pause_s * random.uniform(0.5, 1.0)
-                self.again = asyncio.get_running_loop().call_later(wait_s, self.watch, True)
         finally:
             self._forget(asyncio.current_task())
             self.first.set()
 
+    def _watch_again_soon(self) -> None:
+        """Where lists are pushed: set before anything else is done about a failure, which could fail too."""
+        if self.pushed and not self.closed:
+            # The whole list next, which costs nothing here: whatever was missed, it is in there.
+            self.index = None
+            wait_s = self.limits.pause_s * random.uniform(0.5, 1.0)
+            if self.again is not None:
+                self.again.cancel()
+            self.again = asyncio.get_running_loop().call_later(wait_s, self.watch, True)
+
+    def _note_failure(self, error: Exception) -> None:
+        late = isinstance(error, TimeoutError)
+        self.calls.add("late" if late else "failed")
+        if self.away_since_us is None:
+            self.away_since_us = now_us()
+        log(f"discovery: {'no answer in time' if late else error or type(error).__name__}")
+
     def _forget(self, task: asyncio.Task[Any] | None) -> None:
         if self.watching is task:
             self.watching = None
