--- a/tests/test_failing_start.py
+++ b/tests/test_failing_start.py
@@ -19,14 +19,22 @@
 
 
 @asynccontextmanager
-async def failing(folder: Path, faults: Faults, address: str) -> AsyncIterator[tuple[int, int]]:
-    """A process whose system calls fail from its first one on, for a moment; its two ports."""
+async def failing(
+    folder: Path, faults: Faults, address: str, elsewhere: Path | None = None
+) -> AsyncIterator[tuple[int, int]]:
+    """A process whose system calls fail from its first one on, for a moment; its two ports.
+
+    Files in the folder fail; the configuration may lie elsewhere.
+    """
     control = Control(folder / "control", 1)
     control.set(faults)
     port, admin = free_port(), free_port()
-    file = folder / "config.json"
+    file = (elsewhere or folder) / "config.json"
     file.write_text(json.dumps(configuration(address) | {"listen": f"127.0.0.1:{port}"}))
+    operator = folder / "operator.toml"
+    operator.write_text('[log]\nlevel = "warning"\n')
     names = {"LB_CONFIG": str(file), "LB_ADMIN": f"127.0.0.1:{admin}", "TMPDIR": str(folder)}
+    names["LB_OPERATOR"] = str(operator)
     names |= control.environment(build(folder))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "sagetrack", cwd=ROOT, env=os.environ | names,
@@ -60,6 +68,19 @@
         assert await ask(port, request()) == 200
 
 
+@on_loop
+async def test_an_operators_file_that_cannot_be_opened_for_a_moment_is_opened_again(tmp_path: Path) -> None:
+    """The configuration can: it comes from where nothing fails."""
+    elsewhere, here = tmp_path / "elsewhere", tmp_path / "here"
+    elsewhere.mkdir()
+    here.mkdir()
+    async with (
+        peer() as host,
+        failing(here, Faults(file_rate=1000), host.address, elsewhere) as (port, admin),
+    ):
+        await becomes_ready(port, admin)
+
+
 @on_loop
 async def test_a_configuration_that_cannot_be_opened_for_a_moment_is_opened_again(tmp_path: Path) -> None:
     async with peer() as host, failing(tmp_path, Faults(file_rate=1000), host.address) as (port, admin):
