An operator's file that cannot be opened for a moment is opened again at a start

Change: an error of the disk is told apart from a file that cannot be used, and waited for as the configuration's is.

--- a/sagetrack/config/checked.py
+++ b/sagetrack/config/checked.py
@@ -269,6 +269,14 @@
     return iter(())
 
 
+class UnreadableError(FileError):
+    """The file cannot be read at all: nothing is said of what is in it."""
+
+    def __init__(self, path: Path, error: OSError) -> None:
+        super().__init__([f"{path}: {error.strerror}"])
+        self.error = error
+
+
 def read(path: Path | str, type_: type[T], check: Check = _nothing) -> T:
     """Read a `.json` or TOML file into a structure.
 
@@ -278,7 +286,7 @@
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
-        raise FileError([f"{path}: {error.strerror}"]) from None
+        raise UnreadableError(path, error) from None
     except UnicodeDecodeError:
         raise FileError([f"{path}: not UTF-8"]) from None
     is_json = path.suffix == ".json"
--- a/sagetrack/ops/process.py
+++ b/sagetrack/ops/process.py
@@ -25,11 +25,21 @@
 
 def _take_operators(path: str, gateway: str) -> Operator | None:
     """Read the operator's file and log as it says; None, and a line for each fault, if it cannot be used."""
-    from sagetrack.config.checked import FileError
+    from sagetrack.config.checked import FileError, UnreadableError
     from sagetrack.config.operator import load
+    from sagetrack.core.transient import persist_before_loop
+
+    def read() -> Operator:
+        try:
+            return load(path)
+        except UnreadableError as error:
+            raise error.error from None
 
     try:
-        operator = load(path)
+        operator = persist_before_loop(read)
+    except OSError as error:
+        say(f"{path}: {error.strerror}")
+        return None
     except FileError as error:
         for fault in error.faults:
             say(str(fault))
