--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -299,6 +299,7 @@
         self.servers: dict[int, Server] = {}
         self.lives = Lives()
         self.listing = ServerList(ListKind.DISK)  # the list that is being taken
+        self.listed_us: int | None = None  # the last one that was heard; what is on disk may be old
         self.weights = ExactSum()  # the controller's, of all these
         self.ring = Ring[Server](settings.proxy, settings.proxies)  # those that are ready
         self.ranked = self.ring.ranked  # by rank: the subset is the first of them that may be used
@@ -1240,6 +1241,8 @@
         # From its own place on, each at an even distance from the next: chance would send many proxies to
         # some servers and few to others.
         self.ring.change({number: self.place_of(number) for number in changed})
+        if event.kind is not ListKind.DISK:
+            self.listed_us = self.now_us
         self.serve_waiting()
 
     def place_of(self, number: int) -> Place[Server] | None:
@@ -1258,6 +1261,8 @@
         unheard_us = event.unheard_us
         if unheard_us is None and event.kind is ListKind.DELTA and self.settings.list_is_pushed:
             unheard_us = 0
+        elif unheard_us is None and self.listed_us is not None:
+            unheard_us = self.now_us - self.listed_us
         wall_us = event.wall_us or self.now_us
         began_us = self.lives.began_us(entry.server, entry.started_us, self.now_us, wall_us, unheard_us)
         return began_us + self.settings.warm_after_us
--- a/sagetrack/lab/soak/server.py
+++ b/sagetrack/lab/soak/server.py
@@ -17,6 +17,7 @@
 WORK_S = (0.005, 0.03)
 SLOW_S = (0.3, 0.9)
 SECOND_ANSWER_S = (0.0005, 0.004)  # after the first
+LONG_PARTS = 2_000  # of a long answer's body: some 150 KB
 SPOILT = b"HTTP/1.1 200 OK\r\nContent-Length: nothing\r\n\r\n"
 
 
@@ -31,6 +32,7 @@
     TWICE = "twice"
     UNENDING = "unending"  # no length, and no end
     UNFRAMED = "unframed"  # in chunks
+    LONG = "long"  # more than is held at once
     HALF = "half"  # breaks off in the answer's body
     CLOSE = "close"  # right after an answer
 
@@ -40,6 +42,12 @@
     return f"answer to {call} ".encode() * 4
 
 
+def is_body_for(call: str, body: bytes) -> bool:
+    """Whether it is that, once or many times."""
+    part = body_for(call)
+    return bool(body) and body == part * (len(body) // len(part))
+
+
 def answer(body: bytes) -> bytes:
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
@@ -95,6 +103,9 @@
                 writer.write(b"%x\r\n%s\r\n" % (len(body), body))
                 await asyncio.sleep(draw.uniform(0.0, 0.08))
                 writer.write(b"0\r\n\r\n")
+            case Behaviour.LONG:
+                writer.write(answer(body_for(call) * LONG_PARTS))
+                await writer.drain()
             case Behaviour.HALF:
                 writer.write(good[: len(good) // 2])
                 await asyncio.sleep(0.02)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -54,6 +54,17 @@
         assert share_of_restarted(driver, 10.0) > 0.7, step_s
 
 
+def test_a_whole_list_tells_as_much_where_one_was_heard_a_moment_ago() -> None:
+    for step_s in STEPS_S:
+        driver = Driver(COLD, servers=0)
+        others = [ListedServer(number) for number in range(1, 4)]
+        driver.list_servers(ListedServer(RESTARTED), *others)
+        driver.now_us += 2_000_000
+        stamp_us = driver.now_us - 500_000 + step_s * 1_000_000
+        driver.list_servers(ListedServer(RESTARTED, started_us=stamp_us), *others)
+        assert share_of_restarted(driver, 3.0) < 0.5, step_s
+
+
 def test_every_stamp_leads_to_the_same_start() -> None:
     """Both by stamps that are right and by ones that are off, it is taken to have started about now."""
     shares = [share_of_restarted(restarted(step_s)[0], 8.0) for step_s in STEPS_S]
