--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -11,10 +11,9 @@
 import random
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
 
 from sagetrack.decide.asking import first_call_us, longest_pause_us
+from sagetrack.decide.breaker import COOLDOWN_US, LONGEST_COOLDOWN_US, Breaker, State
 from sagetrack.decide.decaying import DecayingSums
 from sagetrack.decide.door import PROMISED_WORTH, Door, Why
 from sagetrack.decide.interface import (
@@ -30,18 +29,11 @@
 from sagetrack.decide.parts import HeldPart
 from sagetrack.decide.ring import ExactSum, Place, Ring
 from sagetrack.decide.shares import sharers
+from sagetrack.decide.state import CEILING, FLOOR, Attempt, Habit, Part, Request, Server, rendezvous
 
 # The breaker
-RING = 10  # outcomes: a second or less of one proxy's traffic to one server
-MINIMUM = 5  # outcomes before a verdict: fewer convict on chance
-PART_MINIMUM = 2  # the same for one class at one server: a proxy sees a few of these a minute
-THRESHOLD = 0.5  # failure share that opens, beyond what all servers fail in common
-TRIALS = 3  # outcomes that decide in half-open
 RECENT = 100  # outcomes of all servers that tell what fails in common
-COOLDOWN_US = 1_000_000  # first cooldown; doubles with each reopening from half-open
-LONGEST_COOLDOWN_US = 8_000_000
 # The weight controller
-FLOOR, CEILING = 0.05, 1.0  # of the controller's weight
 STEP = 0.02  # added by a good answer
 CUT = 0.7  # factor of a failure or a slow reply
 SLOW = 2.0  # times the smoothed latency: a slow reply
@@ -59,7 +51,6 @@
 COME_BACK = 0.25  # of the class's aim: when a client that was refused may ask again
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
-HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
 # Attempts
 OVERDUE = 4.0  # times the smoothed latency: an attempt that should have been answered
 RETRY_SHARE = 0.2  # further attempts a first try pays for
@@ -100,193 +91,6 @@
 LIST_TOKEN = 0  # the timer that belongs to no request
 
 
-class State(Enum):
-    CLOSED = "closed"
-    OPEN = "open"
-    HALF_OPEN = "half-open"
-
-
-@dataclass(slots=True, eq=False)
-class Breaker:
-    """Ring of the last outcomes of one server, or of one class at it, and what follows from it."""
-
-    minimum: int = MINIMUM
-    ring: deque[bool] = field(default_factory=lambda: deque(maxlen=RING))
-    failures: int = 0
-    state: State = State.CLOSED
-    open_until_us: int = 0
-    cooldown_us: int = COOLDOWN_US
-    episode: int = 0  # half-open spells so far: an outcome is a trial's if it was sent in the present one
-    trials_out: int = 0
-    trial_results: list[bool] = field(default_factory=list)
-
-    def lets_through(self, now_us: int) -> bool:
-        """True if closed, or half-open with trials left to give; ends a cooldown that is over."""
-        if self.state is State.CLOSED:
-            return True
-        if self.state is State.OPEN:
-            if now_us < self.open_until_us:
-                return False
-            self.state = State.HALF_OPEN
-            self.episode += 1
-            self.trials_out = 0
-            self.trial_results = []
-        return self.trials_out + len(self.trial_results) < TRIALS
-
-    def take_trial(self) -> int:
-        """The episode an attempt is a trial of, or 0 for an ordinary attempt."""
-        if self.state is not State.HALF_OPEN:
-            return 0
-        self.trials_out += 1
-        return self.episode
-
-    def record(self, now_us: int, failed: bool, trial_of: int, common: float) -> State | None:
-        """Enter an outcome; returns the new state if it opened or closed the breaker."""
-        limit = 1.0 - (1.0 - THRESHOLD) * (1.0 - common) ** 2  # squared: a few outcomes vary by chance
-        if self.state is State.HALF_OPEN:
-            if trial_of != self.episode:
-                return None  # in half-open only the trials' outcomes count
-            self.trials_out -= 1
-            self.trial_results.append(failed)
-            if sum(self.trial_results) >= TRIALS * limit:  # the rest cannot save it
-                return self.reopen(now_us)
-            return self.close() if len(self.trial_results) == TRIALS else None
-        if len(self.ring) == RING:
-            self.failures -= self.ring[0]
-        self.ring.append(failed)
-        self.failures += failed
-        if failed and len(self.ring) >= self.minimum and self.failures >= len(self.ring) * limit:
-            return self.open(now_us)
-        return None
-
-    def forgo_trial(self, trial_of: int) -> None:
-        """A trial that proved nothing gives its place back."""
-        if self.state is State.HALF_OPEN and trial_of == self.episode:
-            self.trials_out -= 1
-
-    def reopen(self, now_us: int) -> State:
-        """Open at once; from half-open for twice as long."""
-        if self.state is State.HALF_OPEN:
-            self.cooldown_us = min(2 * self.cooldown_us, LONGEST_COOLDOWN_US)
-        return self.open(now_us)
-
-    def open(self, now_us: int) -> State:
-        self.state = State.OPEN
-        self.open_until_us = now_us + self.cooldown_us
-        return self.state
-
-    def close(self) -> State:
-        self.state = State.CLOSED
-        self.ring.clear()
-        self.failures = 0
-        self.cooldown_us = COOLDOWN_US
-        return self.state
-
-
-@dataclass(slots=True, eq=False)
-class Part:
-    """One class's requests at one server: the same ring, states and weight, for failures of that class alone.
-
-    Guards against a server bad for one class only: a verdict on all of it would waste what it does well.
-    """
-
-    breaker: Breaker
-    weight: float = CEILING
-    fine: bool = False  # the last answer was good
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this proxy knows of one server since it last started."""
-
-    entry: ListedServer
-    controlled: float  # the controller's weight: see `weight`
-    rank: float  # a hash of it: its place in the ring, the same at every proxy
-    near: float  # 1 in this proxy's zone, less in others the more a crossing costs
-    warm_at_us: int  # at the latest, on this proxy's clock
-    breaker: Breaker = field(default_factory=Breaker)
-    parts: dict[int, Part] = field(default_factory=dict)  # by class
-    out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
-    good_at_us: int = 0  # the last answer, if it was good
-    judged_us: int = 0  # the last outcome that told something
-    spent_us: float = 0.0  # cold only: work sent and not yet paid off
-    spent_at_us: int = 0
-    weights: ExactSum | None = None  # of all that are listed
-
-    @property
-    def weight(self) -> float:
-        """The controller's; to set it keeps the sum of all."""
-        return self.controlled
-
-    @weight.setter
-    def weight(self, weight: float) -> None:
-        if self.weights is not None and weight != self.controlled:
-            self.weights.change(self.controlled, weight)
-        self.controlled = weight
-
-    def part(self, klass: int) -> Part:
-        if klass not in self.parts:
-            self.parts[klass] = Part(Breaker(PART_MINIMUM))
-        return self.parts[klass]
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    server: Server
-    sent_us: int
-    trial_of: int
-    part_trial_of: int
-    ended: bool = False
-    may_have_run: bool = True
-    overdue: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    id: str
-    klass: int
-    key: int | None
-    deadline_us: int
-    aim_us: int  # absolute
-    size: float  # expected work over the class's mean
-    first_try: bool
-    excess: float  # part of its tenant's tries that is beyond the tenant's share
-    attempts: list[Attempt] = field(default_factory=list)
-    out: int = 0
-    done: bool = False
-    streaming: bool = False
-    answered_us: int = 0  # when its answer began, if it streams
-    uploading: bool = False  # its body still comes
-    once: bool = False  # its body can't be sent again
-    wait_token: int = -1  # the timer that ends its wait
-    member: int = 0  # for the door
-    client: int = 0
-    promised: bool = False  # it was told to come about now
-    told_us: int = -1  # the door's own word on when to come back
-    tenant: int = 0
-    only: int = -1  # a copy, for servers of the newer format (1) or of the older one (0) alone
-    rests_until_us: int = 0  # in order: its key rests, as an attempt may still be running
-
-
-@dataclass(slots=True, eq=False)
-class Habit:
-    """The time that one member's clients give their tries of one class; of another's it says nothing."""
-
-    usual_us: int  # of first tries
-    votes: int = 0  # for that
-    regular: float = 1.0  # share of the tries of late that are given it
-
-
-def rendezvous(key: int, server: int, weight: float) -> float:
-    """Lowest at the server that a key belongs to: weighted rendezvous hashing.
-
-    Everyone ranks alike without a word, and a server that comes or goes moves only what ranks it first.
-    """
-    mixed = (key ^ (server * HASH_FACTOR)) * HASH_FACTOR & HASH_MASK
-    mixed = (mixed ^ (mixed >> 29)) * HASH_FACTOR & HASH_MASK
-    return -math.log((mixed + 1) / (HASH_MASK + 1)) / weight
-
-
 class Balancer:
     """Decides for one proxy. Feed it events in order; carry out the actions that each returns."""
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,7 +22,8 @@
     SetTimer,
     Settings,
 )
-from sagetrack.decide.balance import MINIMUM, Balancer, Breaker, State
+from sagetrack.decide.balance import Balancer
+from sagetrack.decide.breaker import MINIMUM, Breaker, State
 
 SAFE = RequestClass(aim_us=200_000, give_up_us=400_000, worth=3.0, late_worth=0.2, effect=Effect.SAFE)
 KEYED = RequestClass(
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -4,22 +4,9 @@
 
 from tests.helpers import Driver, sends, trip
 from sagetrack.decide.interface import ListedServer, ListKind, Outcome, RequestGone
-from sagetrack.decide.balance import (
-    CEILING,
-    CHEAP_RETRY,
-    COOLDOWN_US,
-    CUT,
-    FLOOR,
-    MINIMUM,
-    RETRY_SHARE,
-    RING,
-    SHED_STEP,
-    STEP,
-    SUBSET,
-    TRIALS,
-    Breaker,
-    State,
-)
+from sagetrack.decide.balance import CHEAP_RETRY, CUT, RETRY_SHARE, SHED_STEP, STEP, SUBSET
+from sagetrack.decide.breaker import COOLDOWN_US, MINIMUM, RING, TRIALS, Breaker, State
+from sagetrack.decide.state import CEILING, FLOOR
 
 
 def tripped() -> Breaker:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sagetrack.decide.balance import COOLDOWN_US, FALL_MARGIN, State
+from sagetrack.decide.balance import FALL_MARGIN
+from sagetrack.decide.breaker import COOLDOWN_US, State
 from sagetrack.decide.interface import Fellows, Learned, ListedServer, ListKind, Outcome, ServerStatus
 from sagetrack.decide.knowledge import CLOSED, OPEN, Latency, Sight, advise, join, trust
 from sagetrack.decide.shares import sharers
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -30,16 +30,9 @@
     TimerFired,
     WatchList,
 )
-from sagetrack.decide.balance import (
-    COOLDOWN_US,
-    LOG_GAP_US,
-    MINIMUM,
-    OVERDUE,
-    SHED_STEP,
-    SUBSET,
-    State,
-    rendezvous,
-)
+from sagetrack.decide.balance import LOG_GAP_US, OVERDUE, SHED_STEP, SUBSET
+from sagetrack.decide.breaker import COOLDOWN_US, MINIMUM, State
+from sagetrack.decide.state import rendezvous
 
 
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -13,7 +13,8 @@
 import pytest
 
 from sagetrack.decide import balance
-from sagetrack.decide.balance import OVER_SHARE, SUBSET, TENANT_MEMORY, Server
+from sagetrack.decide.balance import OVER_SHARE, SUBSET, TENANT_MEMORY
+from sagetrack.decide.state import Server
 from sagetrack.decide.decaying import DecayingSums
 from sagetrack.decide.door import DoorSettings
 from sagetrack.decide.interface import ListedServer, ListKind, Outcome, Refuse, Scope, ServerStatus, Tenant
