--- a/sagetrack/http/requests.py
+++ b/sagetrack/http/requests.py
@@ -13,7 +13,7 @@
 from sagetrack.config.platform import Config, stable_id
 from sagetrack.core.calls import Header
 from sagetrack.core.interfaces import Call, Client
-from sagetrack.http.back import Message
+from sagetrack.http.upstream import Message
 from sagetrack.http.http1 import BODY_LIMIT, HEAD_LIMIT, end_to_end, header, trimmed
 
 ID_LIMIT = 128
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 from sagetrack.core.clock import now_us
 from sagetrack.core.drain import LEAVE_ACCEPT_S
 from sagetrack.decide.interface import AttemptEnded, ListKind, Outcome, RequestArrived
-from sagetrack.http.back import HostConnection
+from sagetrack.http.upstream import HostConnection
 from sagetrack.http.client import PIPELINED
 from sagetrack.roster.discovery import parse_list
 from tests.sockets import (
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -7,7 +7,7 @@
 from sagetrack.decide.interface import ListKind, Outcome
 from sagetrack.config.platform import parse
 from sagetrack.roster.discovery import parse_list
-from sagetrack.http.back import Attempt, HostConnection
+from sagetrack.http.upstream import Attempt, HostConnection
 from sagetrack.core.calls import Reply
 from tests.sockets import (
     Exchange,
--- a/tests/test_h2.py
+++ b/tests/test_h2.py
@@ -39,7 +39,8 @@
 from sagetrack.h2.shadow import Report, difference
 from sagetrack.h2.tls import Keys, KeysError
 from sagetrack.h2.translate import from_new, to_new, to_new_answer, to_old, untranslatable
-from sagetrack.http.back import Message, Pools
+from sagetrack.http.back import Pools
+from sagetrack.http.upstream import Message
 from sagetrack.lab.newserver import Asked, NewConnection
 from sagetrack.lab.scripted import peer
 from tests.sockets import configuration, on_loop, request, running, until
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -25,7 +25,8 @@
 from sagetrack.core.interfaces import Call
 from sagetrack.core.permission import ServerState
 from sagetrack.decide.interface import Effect, ListedServer, ListKind, ServerStatus
-from sagetrack.http.back import HostConnection, Message, Pools
+from sagetrack.http.back import Pools
+from sagetrack.http.upstream import HostConnection, Message
 from tests.helpers import SETTINGS
 
 SERVERS, STEPS = 3, 120
