A request that has another's id is forgotten when that one's timer fires: a failing test

Cause: a request that is over keeps its timer for a late attempt; when it fires, Balancer.free pops the id from the requests, though by then another request has it: a client that sends once more, or a bad one that takes another's id. All that happens to that one afterwards is ignored, and nobody answers. Ruled out: timers of attempts (all had fired), streams, long bodies (none), the loop's lateness (two looks 0.15 s apart).

--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -17,6 +17,7 @@
     ListKind,
     Log,
     Outcome,
+    RequestArrived,
     Prices,
     Refuse,
     RequestClass,
@@ -703,3 +704,19 @@
         assert sends(actions), "taken for a repeat whose aim is over"
         driver.end(name, sends(actions)[0].server, latency_us=10_000)
         driver.now_us += 50_000
+
+
+def test_a_timer_of_a_request_that_is_over_touches_no_other_one_of_the_same_id() -> None:
+    """A client sends a request once more under its id; the timer for a late attempt of the first is still on."""
+    driver = Driver()
+    (send,) = sends(first := driver.handle(RequestArrived("same", 0, 400_000)))
+    (overdue,) = timers(first)
+    driver.end("same", send.server)
+    driver.now_us += 1_000
+    (again,) = sends(driver.handle(RequestArrived("same", 0, 400_000)))
+    driver.now_us = overdue.due_us
+    driver.handle(TimerFired(overdue.token))
+    driver.now_us += 1_000
+    assert "same" in driver.balancer.requests
+    left = driver.end("same", again.server, Outcome.ERROR)
+    assert sends(left) or finals(left)
