--- a/sagetrack/decide/balance.py
+++ b/sagetrack/decide/balance.py
@@ -352,8 +352,12 @@
             del self.waiting[request]
 
     def free(self, request: Request) -> None:
-        """Forget a request that is over; in order, the next of its key has its turn once the key rested."""
-        self.requests.pop(request.id, None)
+        """Forget a request that is over; in order, the next of its key has its turn once the key rested.
+
+        Its id may be another's by now: timers outlast the request that they were set for.
+        """
+        if self.requests.get(request.id) is request:
+            del self.requests[request.id]
         line = self.lines.get(request.key) if request.key is not None else None
         if line is None or request not in line:
             return
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -707,7 +707,7 @@
 
 
 def test_a_timer_of_a_request_that_is_over_touches_no_other_one_of_the_same_id() -> None:
-    """A client sends a request once more under its id; the timer for a late attempt of the first is still on."""
+    """A client sends once more under its id; the timer for a late attempt of the first is still on."""
     driver = Driver()
     (send,) = sends(first := driver.handle(RequestArrived("same", 0, 400_000)))
     (overdue,) = timers(first)
