--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,6 +22,7 @@
     Message,
     Record,
     ask,
+    die_with_parent,
     request_head,
     run_case,
     settings,
@@ -137,7 +138,7 @@
                 record(f"{BAD_CLIENTS} bad clients send {REQUESTS_EACH} requests each, at once")
                 for group in range(GROUPS):
                     arguments = [sys.executable, "-B", __file__, str(gateway.port), str(group)]
-                    processes.append(subprocess.Popen(arguments))
+                    processes.append(subprocess.Popen(arguments, preexec_fn=die_with_parent))
             tasks.append(asyncio.create_task(usual_client(gateway.port, record, answers)))
             await asyncio.sleep(1 / USUAL_PER_S)
         crashed = platform.killed or not gateway.is_running
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import shutil
@@ -22,6 +23,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 CASE_S = 110.0  # a case may take 120 s
+PR_SET_PDEATHSIG = 1
+libc = ctypes.CDLL(None)  # loaded here, as little is safe between fork and exec
 READY_S = 30.0  # the platform gives up on a gateway that is not ready by then
 
 
@@ -37,6 +40,11 @@
         return int(probe.getsockname()[1])
 
 
+def die_with_parent() -> None:
+    """Have the kernel kill this process if its parent ends; runs in a child before its program starts."""
+    libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Record:
     """Writes what was sent, answered and run to `record.txt`, each line with its time in seconds."""
 
@@ -318,6 +326,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=die_with_parent,
             )
 
     async def wait_ready(self) -> None:
