Ignore an offer to upgrade, and read the request that makes it to its end

Cause: httptools reports such a request as complete after its head and raises HttpParserUpgrade afterwards (a probe of its callbacks: complete with should_upgrade, no on_body, then the exception with the offset behind the head). RequestReader.on_message_complete queued it, and _parse made an error of a further request of the exception.

Change: the reader gives a new parser the same head without Upgrade and goes on with the body (RFC 9110, 7.8). CONNECT, for which the parser does the same, is refused at its head.

--- a/sagetrack/http1/request_reader.py
+++ b/sagetrack/http1/request_reader.py
@@ -105,9 +105,7 @@
     def _parse(self, piece: memoryview) -> RequestError | None:
         self._unreported += len(piece)
         try:
-            self._parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            return RequestError(400, "no other protocol is spoken here")
+            self._feed_parser(piece)
         except httptools.HttpParserError as error:
             cause = error.__context__
             return cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
@@ -115,6 +113,23 @@
         # lines at all. Without this limit, each of them could be of any length.
         return RequestError(431, "the head is too long") if self._unreported > HEAD_LIMIT else None
 
+    def _feed_parser(self, data: memoryview) -> None:
+        """Feed data to the parser, ignoring offers to upgrade the connection (RFC 9110, section 7.8).
+
+        The parser takes such a request as complete after its head, whatever its length says. It is therefore
+        replaced by one that parses the same head without the offer, and continues with the body.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                data = data[offer.args[0] :]
+            assert self.current_request is not None
+            head = _head_without_upgrade(self.current_request)
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(head)
+
     # Callbacks of httptools
 
     def on_message_begin(self) -> None:
@@ -141,10 +156,14 @@
         assert request is not None
         self._unreported = 0
         request.method = self._parser.get_method()
+        request.version = self._parser.get_http_version()
+        if request.method == b"CONNECT":
+            raise RequestError(404, "unknown path")  # what follows the head would be no request
+        if self._parser.should_upgrade():
+            return  # `_feed_parser` has the head parsed again
         headers = request.headers
         if sum(len(name) + len(value) for name, value in headers) + len(request.target) > HEAD_LIMIT:
             raise RequestError(431, "the head is too long")
-        request.version = self._parser.get_http_version()
         if request.version not in VERSIONS:
             raise RequestError(505, "HTTP/1.1 is spoken here")
         coding = find_header(headers, b"transfer-encoding")
@@ -188,6 +207,8 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request, or complete its streamed body; called by the parser."""
+        if self._parser.should_upgrade():
+            return  # only the head is complete
         request = self.current_request
         assert request is not None
         self.current_request = None
@@ -200,3 +221,10 @@
         request.received_us = self._fed_us
         request.keep_alive = self._parser.should_keep_alive()
         self.requests.append(request)
+
+
+def _head_without_upgrade(request: HttpRequest) -> bytes:
+    """Return the head of a request as it was received, but without its Upgrade headers."""
+    lines = [b"%s %s HTTP/%s" % (request.method, request.target, request.version.encode())]
+    lines += [b"%s: %s" % (name, value) for name, value in request.headers if name.lower() != b"upgrade"]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -100,6 +100,22 @@
         assert (await run.request(request())).status == 200
 
 
+# Guards against running a request that offers an upgrade with an empty body (review/1).
+@on_event_loop
+async def test_a_request_that_offers_an_upgrade_is_forwarded_whole_and_gets_one_response() -> None:
+    async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
+        client = await run.connect()
+        connection = "Upgrade, HTTP2-Settings"
+        client.send(request("hold", b"slip", connection=connection, upgrade="h2c", http2_settings="AAMA"))
+        assert (await client.read_response()).status == 200
+        client.send(request("hold", b"next"))
+        assert (await client.read_response()).status == 200
+        first, second = (exchange.message for exchange in upstream.exchanges)
+        assert (first.body, second.body) == (b"slip", b"next")
+        assert not {"upgrade", "http2-settings"} & first.headers.keys()
+        client.close()
+
+
 @on_event_loop
 async def test_a_body_is_received_in_pieces_or_chunks() -> None:
     async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -72,3 +72,45 @@
     reader.feed(b"no size\r\n", 16)
     assert streamed_request.error is not None and list(reader.requests) == [streamed_request]
     assert streamed_request.streamed_body.is_finished and not streamed_request.streamed_body.is_complete
+
+
+UPGRADE_OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
+
+
+# Guards against taking a request that offers an upgrade as complete after its head (review/1).
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+@pytest.mark.parametrize(
+    ("framing", "body", "expected"),
+    [
+        (b"", b"", b""),
+        (b"Content-Length: 4\r\n", b"slip", b"slip"),
+        (b"Transfer-Encoding: chunked\r\n", b"4\r\nslip\r\n0\r\nX-Trailer: a\r\n\r\n", b"slip"),
+    ],
+)
+def test_an_offer_to_upgrade_is_ignored(framing: bytes, body: bytes, expected: bytes, size: int) -> None:
+    reader = new_reader()
+    data = b"POST /transfer HTTP/1.1\r\n" + framing + UPGRADE_OFFER + b"\r\n" + body
+    data += request("transfer", b"next")
+    for at in range(0, len(data), size):
+        reader.feed(data[at : at + size], 16)
+    offering, following = reader.requests
+    assert b"".join(offering.body) == expected and offering.error is None and offering.keep_alive
+    assert b"".join(following.body) == b"next"
+    assert not reader.has_partial_request and not reader.has_failed
+
+
+def test_a_long_body_behind_an_offer_to_upgrade_is_awaited() -> None:
+    reader = new_reader()
+    length = 2 * BODY_LIMIT
+    head = b"POST /transfer HTTP/1.1\r\nContent-Length: %d\r\n" % length + UPGRADE_OFFER + b"\r\n"
+    reader.feed(head + bytes(1000), 16)
+    (offering,) = reader.requests
+    assert offering.streamed_body is not None and not offering.streamed_body.is_complete
+    assert (offering.streamed_body.length, offering.streamed_body.received) == (length, 1000)
+
+
+def test_connect_is_one_invalid_request() -> None:
+    reader = new_reader()
+    reader.feed(b"CONNECT backend:1 HTTP/1.1\r\nHost: backend:1\r\n\r\n" + request(), 16)
+    (connect,) = reader.requests
+    assert connect.error is not None and connect.error.status == 404 and reader.has_failed
