Count the request data of all client connections in one memory budget

Cause: each connection may read 16 requests ahead with their whole bodies; its own bound held, the sum over connections was counted nowhere. Probes of related paths showed that counts of bytes leave out the objects: 64 kB in chunks of 2 bytes took 28 times as much.

Change: RequestMemoryBudget, a quarter of the memory limit. Above half of it no connection reads ahead; above all of it a request with a body gets 503. Short chunks are joined, a message has at most 256 headers, and the body of a request in progress is held once. Parsing goes on in a long body whose rest was left unparsed behind other requests.

The new tests fail with a budget that always allows reading ahead, without joined chunks, or without going on in the long body.

--- a/sagetrack/core/bodies.py
+++ b/sagetrack/core/bodies.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, MutableSequence
 
 from sagetrack.core.clock import now_us
 
@@ -15,6 +15,7 @@
 MAX_BUFFER_PER_BODY = 64 * 1024  # bytes buffered per body before its sender is paused
 MIN_BUFFER_PER_BODY = 8 * 1024  # lower bound of that limit when very many bodies are streamed at once
 BUFFER_MEMORY_SHARE = 0.125  # share of the memory limit used for the buffers of all streamed bodies
+MIN_CHUNK = 4 * 1024  # shorter chunks are joined, as each one costs the memory of an object
 BODY_STALL_TIMEOUT_S = 10.0  # a transfer is aborted after this time without progress
 
 
@@ -22,6 +23,17 @@
     """Do nothing; the default callback."""
 
 
+def append_chunk(chunks: MutableSequence[bytes | bytearray], data: bytes) -> None:
+    """Append a part of a body to its chunks, joining it with the last one if that is short."""
+    if not chunks or len(chunks[-1]) >= MIN_CHUNK:
+        chunks.append(data)
+        return
+    last = chunks[-1]
+    if not isinstance(last, bytearray):
+        last = chunks[-1] = bytearray(last)
+    last += data
+
+
 class BodyMemoryBudget:
     """The buffer memory shared by all streamed bodies; the more there are, the less each may buffer.
 
@@ -86,7 +98,7 @@
         self.length = length
         self.body_budget = body_budget
         body_budget.active_bodies += 1
-        self.chunks: deque[bytes] = deque()
+        self.chunks: deque[bytes | bytearray] = deque()
         self.buffered = 0
         self.received = 0
         self.is_complete = False
@@ -113,7 +125,7 @@
         self.received += len(data)
         if self.discarding:
             return
-        self.chunks.append(data)
+        append_chunk(self.chunks, data)
         self.buffered += len(data)
         self.on_data()
 
@@ -125,7 +137,7 @@
         self.buffered -= len(chunk)
         if was_full and not self.is_full:
             self.on_capacity()
-        return chunk
+        return bytes(chunk)
 
     def complete(self) -> None:
         """Mark the body as complete, and notify the upstream side; a second call does nothing."""
--- a/sagetrack/http1/codec.py
+++ b/sagetrack/http1/codec.py
@@ -6,10 +6,11 @@
 
 import httptools
 
-from sagetrack.core.bodies import STREAMED_BODY_LIMIT
+from sagetrack.core.bodies import STREAMED_BODY_LIMIT, append_chunk
 from sagetrack.core.responses import Header, Response
 
 BODY_LIMIT = 64 * 1024  # bytes of a buffered body; longer bodies are streamed
+MAX_HEADERS = 256  # headers of a message
 HEAD_LIMIT = 16 * 1024  # bytes of the request line or status line together with the headers
 READ_SIZE = 64 * 1024  # maximum bytes per read from a connection
 INTERIM_LIMIT = 8  # maximum number of 1xx responses before the final response
@@ -84,7 +85,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._responses: list[Response] = []
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body: list[bytes | bytearray] = []
         self._size = 0
         self._interim_count = 0
         self._unparsed = 0  # bytes fed since the parser last reported a complete head, a body part or the end
@@ -153,6 +154,8 @@
         self._size += len(name) + len(value)
         if self._size > HEAD_LIMIT:
             raise ResponseError(f"response head is longer than {HEAD_LIMIT} bytes")
+        if len(self._headers) >= MAX_HEADERS:
+            raise ResponseError(f"response has more than {MAX_HEADERS} headers")
         self._headers.append((name, strip_whitespace(value)))
 
     def on_headers_complete(self) -> None:
@@ -183,7 +186,7 @@
         self._unparsed = 0
         if self._size > self._size_limit:
             raise ResponseError(f"response body is longer than {self._size_limit} bytes")
-        self._body.append(data)
+        append_chunk(self._body, data)
 
     def on_message_complete(self) -> None:
         """Store a complete response; interim responses (1xx) are ignored. Called by the parser."""
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -15,6 +15,7 @@
 from sagetrack.http1.connection_phases import ConnectionPhases, PhaseTracker
 from sagetrack.http1.exchange import Exchange, ExchangeContext
 from sagetrack.http1.read_pause import ReadPause
+from sagetrack.http1.request_memory import MemoryClaim, RequestMemoryBudget
 from sagetrack.http1.request_reader import RequestReader
 from sagetrack.http1.requests import HttpRequest, RequestError
 
@@ -39,6 +40,7 @@
         paused: The connections on which reading is paused.
         close_watcher: Detects that a client has closed a connection on which reading is paused.
         body_budget: The memory budget of all streamed bodies.
+        memory_budget: The memory budget of all other request data.
         buffer: The read buffer of all connections; its content is copied right after each read.
         closes: Counts the connections that this process closes, by reason.
     """
@@ -51,6 +53,7 @@
         self.paused: set[ClientConnection] = set()
         self.close_watcher = PeerCloseWatcher()
         self.body_budget = BodyMemoryBudget(exchange_context.config.memory_mb)
+        self.memory_budget = RequestMemoryBudget(exchange_context.config.memory_mb)
         self.buffer = memoryview(bytearray(READ_SIZE))
         self.closes = ClientCloses(exchange_context.gateway)
 
@@ -75,6 +78,7 @@
         "discarded_body",
         "exchange",
         "is_closing",
+        "memory_claim",
         "opened_s",
         "phase",
         "poll",
@@ -87,7 +91,8 @@
     def __init__(self, context: ClientContext) -> None:
         self.context = context
         self.transport: asyncio.Transport | None = None
-        self.reader = RequestReader(context.body_budget)
+        self.reader = RequestReader(context.body_budget, context.memory_budget)
+        self.memory_claim = MemoryClaim(context.memory_budget)
         self.exchange = Exchange(self, context.exchange_context)
         self.discarded_body: StreamedBody | None = None  # read to its end after the response has been sent
         self.phase = PhaseTracker(self, context.phases)
@@ -117,6 +122,7 @@
         self.phase.enter(None)
         self.is_closing = True
         self.cancel_requests()
+        self.memory_claim.update(0)
 
     def eof_received(self) -> None:
         """Handle a close by the client; data that was written is still flushed. Called by the event loop."""
@@ -244,11 +250,12 @@
         self.parse(bytes(self.context.buffer[:size]))
         self.handle_next()
         self.update_phase()
+        self.update_memory()
 
     def parse(self, data: bytes) -> None:
         """Parse `data` after data still unparsed; reading pauses while any data stays unparsed."""
         assert self.transport is not None
-        self.reader.feed(data, MAX_PIPELINED)
+        self.reader.feed(data, self.read_ahead_limit())
         self.handle_read_error()
         if self.is_closing:
             return
@@ -259,6 +266,19 @@
             self.context.unwatch(self)
         self.send_continue()
 
+    def read_ahead_limit(self) -> int:
+        """Return how many requests may wait behind the one in progress."""
+        if self.context.memory_budget.allows_read_ahead:
+            return MAX_PIPELINED
+        is_receiving_body = self.reader.streamed_body is not None
+        return 1 if is_receiving_body or not self.exchange.is_busy else 0
+
+    def update_memory(self) -> None:
+        """Report the memory of the requests that were received and have no response yet."""
+        message = self.exchange.message
+        in_progress = message.memory_bytes if message is not None else 0
+        self.memory_claim.update(self.reader.held_bytes + in_progress)
+
     def resume_parsing(self) -> None:
         """Parse the unparsed data, now that there is capacity for it."""
         if self.transport is None or self.is_closing or self.transport.is_closing():
@@ -266,6 +286,7 @@
         if self.reader.unparsed:
             self.parse(b"")
             self.handle_next()
+            self.update_memory()
         self.update_phase()
 
     def resume_parsing_soon(self) -> None:
@@ -304,6 +325,9 @@
             return
         self.exchange.start(self.reader.requests.popleft())
         self.send_continue()
+        self.update_memory()
+        if self.reader.unparsed and self.reader.streamed_body is not None:
+            self.resume_parsing_soon()  # parsing may have stopped within the body of this request
 
     def handle_next_soon(self) -> None:
         """Handle the next request in the next iteration of the event loop, if there may be one."""
@@ -328,8 +352,10 @@
         if not is_last:
             self.handle_next_soon()
             self.update_phase()
+            self.update_memory()
             return
         self.reader.requests.clear()
+        self.update_memory()
         if message.streamed_body is not None and not message.streamed_body.is_finished:
             self._discard(message.streamed_body)
         elif message.error is not None:
--- a/sagetrack/http1/request_reader.py
+++ b/sagetrack/http1/request_reader.py
@@ -6,9 +6,17 @@
 
 import httptools
 
-from sagetrack.core.bodies import STREAMED_BODY_LIMIT, BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import STREAMED_BODY_LIMIT, BodyMemoryBudget, StreamedBody, append_chunk
 from sagetrack.core.clock import now_us
-from sagetrack.http1.codec import BODY_LIMIT, HEAD_LIMIT, VERSIONS, find_header, strip_whitespace
+from sagetrack.http1.codec import (
+    BODY_LIMIT,
+    HEAD_LIMIT,
+    MAX_HEADERS,
+    VERSIONS,
+    find_header,
+    strip_whitespace,
+)
+from sagetrack.http1.request_memory import HEADER_OVERHEAD, RequestMemoryBudget, head_memory
 from sagetrack.http1.requests import HttpRequest, RequestError
 
 PARSE_SLICE = 4096  # bytes parsed between checks of the number of waiting requests
@@ -24,7 +32,9 @@
     __slots__ = (
         "_body_budget",
         "_body_size",
+        "_claimed_bytes",
         "_fed_us",
+        "_memory_budget",
         "_parser",
         "_unreported",
         "current_request",
@@ -35,11 +45,13 @@
         "unparsed",
     )
 
-    def __init__(self, body_budget: BodyMemoryBudget) -> None:
+    def __init__(self, body_budget: BodyMemoryBudget, memory_budget: RequestMemoryBudget) -> None:
         self._parser = httptools.HttpRequestParser(self)
         self._body_budget = body_budget
+        self._memory_budget = memory_budget
         self.current_request: HttpRequest | None = None
         self._body_size = 0
+        self._claimed_bytes = 0  # memory counted for the body of the current request
         self.in_body = False
         self.expects_continue = False  # the client waits for `100 Continue` before it sends the body
         self._unreported = 0  # bytes parsed since the parser last reported a complete head or a body part
@@ -63,6 +75,15 @@
         """Bytes received of the body of the current request."""
         return self._body_size
 
+    @property
+    def held_bytes(self) -> int:
+        """Estimated memory of all data that was received and is not handled yet, without streamed bodies."""
+        held = len(self.unparsed) + self._unreported
+        if self.current_request is not None:
+            current = self.current_request
+            held += current.memory_bytes or len(current.headers) * HEADER_OVERHEAD
+        return held + sum(request.memory_bytes for request in self.requests)
+
     def feed(self, data: bytes, limit: int) -> None:
         """Parse data until `limit` requests are waiting.
 
@@ -136,6 +157,7 @@
         """Start a request; called by the parser."""
         self.current_request = HttpRequest()
         self._body_size = 0
+        self._claimed_bytes = 0
         self.expects_continue = False
 
     def on_url(self, url: bytes) -> None:
@@ -148,6 +170,8 @@
         assert self.current_request is not None
         if self.in_body:
             return  # trailers may be dropped, and must not replace headers that have been checked
+        if len(self.current_request.headers) >= MAX_HEADERS:
+            raise RequestError(431, "too many headers")
         self.current_request.headers.append((name, strip_whitespace(value)))
 
     def on_headers_complete(self) -> None:
@@ -166,21 +190,28 @@
             raise RequestError(431, "the head is too long")
         if request.version not in VERSIONS:
             raise RequestError(505, "HTTP/1.1 is spoken here")
-        coding = find_header(headers, b"transfer-encoding")
-        if coding is not None and coding.lower() != b"chunked":
-            raise RequestError(501, "no transfer encoding but chunked is read")
-        length = find_header(headers, b"content-length")
-        if length is not None and int(length) > STREAMED_BODY_LIMIT:
-            raise RequestError(413, "the body is too long")
-        self.in_body = True
-        if length is not None and int(length) > BODY_LIMIT:
-            self._stream_body(request, int(length))
+        request.memory_bytes = head_memory(request.target, headers)
+        self._begin_body(request)
         expected = find_header(headers, b"expect")
         if expected is not None:
             if expected.lower() != b"100-continue":
                 raise RequestError(417, "only 100-continue can be expected")
             self.expects_continue = True
 
+    def _begin_body(self, request: HttpRequest) -> None:
+        """Check the framing of the body, and start to stream or to buffer it."""
+        coding = find_header(request.headers, b"transfer-encoding")
+        if coding is not None and coding.lower() != b"chunked":
+            raise RequestError(501, "no transfer encoding but chunked is read")
+        length = int(find_header(request.headers, b"content-length") or 0)
+        if length > STREAMED_BODY_LIMIT:
+            raise RequestError(413, "the body is too long")
+        self.in_body = True
+        if length > BODY_LIMIT:
+            self._stream_body(request, length)
+        else:
+            self._claim_memory(request, length if coding is None else BODY_LIMIT)
+
     def on_body(self, data: bytes) -> None:
         """Add a part of the body; called by the parser."""
         assert self.current_request is not None
@@ -192,17 +223,25 @@
         if request.streamed_body is not None:
             request.streamed_body.feed(data)
             return
-        request.body.append(data)
+        append_chunk(request.body, data)
         if self._body_size > BODY_LIMIT:
             self._stream_body(request, None)
 
+    def _claim_memory(self, request: HttpRequest, length: int) -> None:
+        """Count a body that will be buffered as if it were complete; reject it if the budget is exhausted."""
+        if length and self._memory_budget.is_exhausted:
+            raise RequestError(503, "too many requests are in progress: ask again")
+        self._claimed_bytes = length
+        request.memory_bytes += length
+
     def _stream_body(self, request: HttpRequest, length: int | None) -> None:
         """Start to stream the body, and queue the request before it is complete."""
         request.keep_alive = self._parser.should_keep_alive()
         request.streamed_body = StreamedBody(length, self._body_budget)
         for piece in request.body:
-            request.streamed_body.feed(piece)
+            request.streamed_body.feed(bytes(piece))
         request.body.clear()
+        request.memory_bytes -= self._claimed_bytes
         self.requests.append(request)
 
     def on_message_complete(self) -> None:
@@ -218,6 +257,7 @@
         if request.streamed_body is not None:
             request.streamed_body.complete()
             return
+        request.memory_bytes += self._body_size - self._claimed_bytes
         request.received_us = self._fed_us
         request.keep_alive = self._parser.should_keep_alive()
         self.requests.append(request)
--- a/sagetrack/http1/requests.py
+++ b/sagetrack/http1/requests.py
@@ -39,6 +39,7 @@
         "error",
         "headers",
         "keep_alive",
+        "memory_bytes",
         "method",
         "received_us",
         "streamed_body",
@@ -50,12 +51,13 @@
         self.method = b""
         self.target = b""
         self.headers: list[Header] = []
-        self.body: list[bytes] = []
+        self.body: list[bytes | bytearray] = []
         self.keep_alive = False
         self.error = error
         self.streamed_body: StreamedBody | None = None  # the body, if it is too long to be buffered
         self.version = "1.1"
         self.received_us = 0  # time at which the last byte of the request was received
+        self.memory_bytes = 0  # estimated memory of the head and of a buffered body
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,6 +87,7 @@
     id_ = _check_class_rules(message, settings, headers)
     budget_ms = _parse_integer(headers.get(b"x-budget-ms"), "X-Budget-Ms")
     body = b"".join(message.body)
+    message.body.clear()  # so that the body is not held twice while the request is in progress
     client_name = headers.get(config.client_header)
     # A budget longer than the request timeout of the class is reduced to that timeout.
     client_timeout_us = (
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -11,12 +11,15 @@
 from sagetrack.core.send_rules import CloseReason
 from sagetrack.http1 import connection_phases as phases_module
 from sagetrack.http1 import downstream as downstream_module
+from sagetrack.http1.codec import READ_SIZE
+from sagetrack.http1.request_memory import MemoryClaim
 from tests.sockets import (
     configuration,
     http_response,
     no_response,
     on_event_loop,
     request,
+    respond_with,
     running_gateway,
     scripted_server,
     wait_until,
@@ -259,3 +262,45 @@
         assert b"unanswered" not in errors
         partial.close()
         held.close()
+
+
+# Guards against memory for requests read ahead that grows with the number of connections (review/2).
+@on_event_loop
+async def test_requests_read_ahead_share_one_memory_budget_and_all_get_responses() -> None:
+    body = bytes(60_000)
+    each = 12
+    async with scripted_server(no_response) as upstream:
+        config = configuration(upstream) | {"limits": {"memory_mb": 32, "sockets": 1024}}
+        async with running_gateway(config) as run:
+            budget = run.listener.context.memory_budget
+            clients = [await run.connect() for _ in range(30)]
+            for client in clients:
+                client.send(b"".join(request("hold", body) for _ in range(each)))
+            await wait_until(lambda: upstream.exchanges and not budget.allows_read_ahead)
+            await asyncio.sleep(0.2)
+            # Beyond the share for reading ahead, each connection holds one request and one read.
+            assert 0 < budget.used_bytes < budget.total_bytes / 2 + len(clients) * 2 * READ_SIZE
+            assert sum(len(c.reader.requests) for c in run.listener.connections) < len(clients) * each / 2
+            upstream.script = respond_with(http_response(200, b"fine"))
+            for exchange in upstream.exchanges:
+                exchange.respond(http_response(200, b"fine"))
+            for client in clients:
+                for _ in range(each):
+                    assert (await client.read_response()).status in (200, 503)
+                client.close()
+            await wait_until(lambda: not run.listener.connections)
+            assert budget.used_bytes == 0
+
+
+@on_event_loop
+async def test_a_long_body_that_waits_unparsed_behind_another_request_is_read_on() -> None:
+    body = bytes(200_000)
+    async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
+        budget = run.listener.context.memory_budget
+        MemoryClaim(budget).update(budget.total_bytes // 2)
+        assert not budget.allows_read_ahead
+        client = await run.connect()
+        client.send(request("search") + request("search") + request("transfer", body))
+        assert [(await client.read_response()).status for _ in range(3)] == [200] * 3
+        assert upstream.exchanges[-1].message.body == body
+        client.close()
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -4,14 +4,15 @@
 
 import pytest
 
-from sagetrack.core.bodies import BodyMemoryBudget
-from sagetrack.http1.codec import BODY_LIMIT
+from sagetrack.core.bodies import MIN_CHUNK, BodyMemoryBudget
+from sagetrack.http1.codec import BODY_LIMIT, MAX_HEADERS, ResponseError, ResponseReader
+from sagetrack.http1.request_memory import MemoryClaim, RequestMemoryBudget
 from sagetrack.http1.request_reader import RequestReader
 from tests.sockets import request
 
 
 def new_reader() -> RequestReader:
-    return RequestReader(BodyMemoryBudget(64))
+    return RequestReader(BodyMemoryBudget(64), RequestMemoryBudget(64))
 
 
 @pytest.mark.parametrize("size", [1, 7, 10_000])
@@ -114,3 +115,60 @@
     reader.feed(b"CONNECT backend:1 HTTP/1.1\r\nHost: backend:1\r\n\r\n" + request(), 16)
     (connect,) = reader.requests
     assert connect.error is not None and connect.error.status == 404 and reader.has_failed
+
+
+# Guards against the memory of many small objects for one body or head (issue 34).
+def test_a_body_of_tiny_chunks_is_held_in_few_objects() -> None:
+    reader = new_reader()
+    reader.feed(request("transfer", content_length="", transfer_encoding="chunked"), 16)
+    for _ in range(10):
+        reader.feed(b"2\r\nab\r\n" * 3000, 16)
+    assert reader.current_request is not None and len(reader.current_request.body) <= BODY_LIMIT // MIN_CHUNK
+    reader.feed(b"2\r\nab\r\n" * 10_000, 16)
+    (streamed_request,) = reader.requests
+    assert streamed_request.streamed_body is not None
+    assert (
+        len(streamed_request.streamed_body.chunks) <= streamed_request.streamed_body.buffered // MIN_CHUNK + 1
+    )
+    received = b""
+    while streamed_request.streamed_body.chunks:
+        received += streamed_request.streamed_body.take()
+    assert received == b"ab" * (len(received) // 2) and len(received) > BODY_LIMIT
+
+
+@pytest.mark.parametrize(("count", "is_valid"), [(MAX_HEADERS - 1, True), (MAX_HEADERS, False)])
+def test_the_number_of_headers_is_limited(count: int, is_valid: bool) -> None:
+    reader = new_reader()
+    reader.feed(b"GET /search HTTP/1.1\r\nHost: b\r\n" + b"a:\r\n" * count + b"\r\n", 16)
+    (parsed,) = reader.requests
+    assert (parsed.error is None) is is_valid
+    responses = ResponseReader()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + b"a:\r\n" * count + b"\r\n"
+    if is_valid:
+        assert responses.feed(head) is not None
+    else:
+        with pytest.raises(ResponseError):
+            responses.feed(head)
+
+
+def test_held_memory_follows_what_is_waiting() -> None:
+    reader = new_reader()
+    assert reader.held_bytes == 0
+    data = request("transfer", b"x" * 50_000)
+    reader.feed(data[:1000], 16)
+    assert 50_000 < reader.held_bytes < 60_000  # the announced length counts from the head on
+    reader.feed(data[1000:] + data[:10], 1)
+    assert 50_000 < reader.held_bytes < 60_000
+    reader.requests.clear()
+    reader.feed(b"", 1)
+    assert reader.held_bytes < 1000
+
+
+def test_a_body_is_rejected_once_the_memory_budget_is_exhausted() -> None:
+    budget = RequestMemoryBudget(memory_mb=4)
+    reader = RequestReader(BodyMemoryBudget(64), budget)
+    MemoryClaim(budget).update(budget.total_bytes)
+    reader.feed(request("search") + request("transfer", b"slip"), 16)
+    without_body, with_body = reader.requests
+    assert without_body.error is None
+    assert with_body.error is not None and with_body.error.status == 503
