End a closing connection when its client stops reading, not 2.4 s later

Cause: ClientConnection.close gave 2.4 s in all for what is still in the write buffer. The kernel takes more only when a third of its send buffer is free, over 4 s here.

Change: a phase for connections whose client has data to take, which ends them after 30 s without progress, by the write buffer and the kernel's queue together. A test patched the former limit of buffered responses to 0 to show that it spares streamed ones; there is one limit now, so the patch goes, and four tests hold the new one.

The test of a client that rests for 3 s fails with the former limit.

--- a/sagetrack/core/drain.py
+++ b/sagetrack/core/drain.py
@@ -100,6 +100,17 @@
         """Return whether the process is shutting down and `response_cutoff_s` has passed."""
         return self.phase is DrainPhase.SHUTTING_DOWN and now_s >= self.response_cutoff_s
 
+    def ends_connection(self, now_s: float, has_more: bool) -> bool:
+        """Return whether a connection is closed after its next response, because the process is draining.
+
+        Requests that were read still get a response; a shutdown limits this by its cutoff.
+
+        Args:
+            now_s: The current time.
+            has_more: True if a further request, or a part of one, was read from the connection.
+        """
+        return self.is_draining and (not has_more or self.is_past_response_cutoff(now_s))
+
     @property
     def response_cutoff_s(self) -> float:
         """Time at which a shutdown gives up pending requests, shortly before the process may be killed."""
--- a/sagetrack/http1/connection_phases.py
+++ b/sagetrack/http1/connection_phases.py
@@ -11,10 +11,12 @@
     CloseReason,
     DenialReason,
 )
+from sagetrack.http1.write_progress import WriteProgress
 
 FIRST_BYTE_TIMEOUT_S = REQUEST_HEAD_TIMEOUT_S  # time limit from the accept to the first byte
 # Time limit of a request without a streamed body, from its first byte (first request: from the accept).
 REQUEST_TIMEOUT_S = 2.4
+WRITE_STALL_TIMEOUT_S = 30.0  # time limit for a client that takes none of the data written for it
 KEEPALIVE_S = 20.0  # idle timeout between requests
 KEEPALIVE_MANY_CLIENTS_S = 2.0  # idle timeout while many clients are connected
 
@@ -39,6 +41,10 @@
     def check_body_rate(self, now_s: float, since_s: float) -> None:
         """Abandon a request whose body arrives too slowly."""
 
+    @property
+    def write_progress(self) -> WriteProgress:
+        """Tells whether the client takes the data written for it."""
+
 
 Phase = dict[TimedConnection, float]  # entry time of each connection, in order of entry
 
@@ -48,7 +54,8 @@
 
     Connections enter and leave phases by their `PhaseTracker`. A connection that waits for an upstream server
     is in no phase. Times are event loop times in seconds. `closing` holds the time at which a connection is
-    aborted; the other phases hold the time at which it entered the phase.
+    aborted, and `sending` the time at which its client was last known to read; the other phases hold the time
+    at which it entered the phase.
     """
 
     def __init__(self) -> None:
@@ -56,6 +63,7 @@
         self.receiving_request: Phase = {}
         self.receiving_body: Phase = {}
         self.idle: Phase = {}
+        self.sending: Phase = {}  # data waits for the client; the connection may be closing as well
         self.closing: Phase = {}
 
     def close_expired(self, now_s: float, has_many_clients: bool) -> None:
@@ -72,10 +80,21 @@
                 connection.abandon_request()
         for connection, since_s in list(self.receiving_body.items()):
             connection.check_body_rate(now_s, since_s)
+        self._abort_stalled(now_s)
         for connection, end_s in list(self.closing.items()):
             if now_s >= end_s:
                 connection.abort()
 
+    def _abort_stalled(self, now_s: float) -> None:
+        """Abort connections whose client has taken nothing for `WRITE_STALL_TIMEOUT_S`."""
+        for connection, since_s in list(self.sending.items()):
+            if now_s - since_s < WRITE_STALL_TIMEOUT_S:
+                continue
+            if connection.write_progress.has_advanced():
+                self.sending[connection] = now_s
+            else:
+                connection.abort()
+
     def reclaim(self, reason: CloseReason, idle_s: float = 0.0) -> bool:
         """Close one connection without a complete request to free a descriptor; return False if none may be.
 
@@ -114,20 +133,21 @@
         self.phases = phases
         self.phase: Phase | None = None
 
-    def enter(self, phase: Phase | None, since_s: float | None = None) -> None:
-        """Enter a phase. This has no effect if the connection is already in it.
+    def enter(self, phase: Phase | None, since_s: float | None = None) -> bool:
+        """Enter a phase; return False, without any effect, if the connection is already in it.
 
         Args:
             phase: The new phase; None if the connection does not wait for its client.
             since_s: The entry time to record; by default the current time.
         """
         if phase is self.phase:
-            return
+            return False
         if self.phase is not None:
             self.phase.pop(self.connection, None)
         self.phase = phase
         if phase is not None:
             phase[self.connection] = asyncio.get_running_loop().time() if since_s is None else since_s
+        return True
 
     def enter_closing(self, timeout_s: float) -> None:
         """Enter the closing phase, in which the connection is aborted after `timeout_s`."""
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -10,23 +10,21 @@
 from sagetrack.core.drain import Drain
 from sagetrack.core.peer_close import PeerCloseWatcher, has_peer_closed
 from sagetrack.core.send_rules import ClientConnectionState, CloseReason, DenialReason, may_close
-from sagetrack.http1.client_closes import ABORTED, CLIENT_DISCONNECTED, DRAINED, RESPONDED, ClientCloses
+from sagetrack.http1.client_closes import ABORTED, CLIENT_DISCONNECTED, RESPONDED, ClientCloses
 from sagetrack.http1.codec import READ_SIZE
 from sagetrack.http1.connection_phases import ConnectionPhases, PhaseTracker
 from sagetrack.http1.exchange import Exchange, ExchangeContext
+from sagetrack.http1.read_ahead import ReadAhead
 from sagetrack.http1.read_pause import ReadPause
-from sagetrack.http1.request_memory import MemoryClaim, RequestMemoryBudget
+from sagetrack.http1.request_memory import RequestMemoryBudget
 from sagetrack.http1.request_reader import RequestReader
 from sagetrack.http1.requests import HttpRequest, RequestError
+from sagetrack.http1.write_progress import WriteProgress
 
-MAX_PIPELINED = 16  # requests that are read ahead on one connection
 MIN_BODY_RATE = 64_000  # minimum average rate of a request body, in bytes per second
 BODY_GRACE_S = 2.0  # time allowed for a request body in addition to its time at `MIN_BODY_RATE`
 LINGER_S = 0.5  # time that the client has to read an error response to a request it is still sending
-WRITE_TIMEOUT_S = 2.4  # time that the client has to read a buffered response
-# Time that the client has to read more of a streamed response. The kernel accepts more data only when a third
-# of its send buffer, which may be larger than a megabyte, has been read, so that a slow client needs longer.
-STREAM_WRITE_TIMEOUT_S = 30.0
+CLOSE_TIMEOUT_S = 2.4  # time for a close after which nothing is left to be sent
 
 
 class ClientContext:
@@ -78,22 +76,23 @@
         "discarded_body",
         "exchange",
         "is_closing",
-        "memory_claim",
         "opened_s",
         "phase",
         "poll",
+        "read_ahead",
         "read_pause",
         "reader",
         "transport",
         "write_blocked",
+        "write_progress",
     )
 
     def __init__(self, context: ClientContext) -> None:
         self.context = context
         self.transport: asyncio.Transport | None = None
         self.reader = RequestReader(context.body_budget, context.memory_budget)
-        self.memory_claim = MemoryClaim(context.memory_budget)
         self.exchange = Exchange(self, context.exchange_context)
+        self.read_ahead = ReadAhead(context.memory_budget, self.reader, self.exchange)
         self.discarded_body: StreamedBody | None = None  # read to its end after the response has been sent
         self.phase = PhaseTracker(self, context.phases)
         self.read_pause = ReadPause(self.phase)
@@ -110,6 +109,7 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class is not a subclass of it
         self.exchange.transport = self.transport
         self.descriptor = transport.get_extra_info("socket").fileno()
+        self.write_progress = WriteProgress(self.transport, self.descriptor)
         self.poll.register(self.descriptor, select.POLLIN | select.POLLRDHUP)
         self.opened_s = asyncio.get_running_loop().time()
         self.context.connections.add(self)
@@ -122,7 +122,7 @@
         self.phase.enter(None)
         self.is_closing = True
         self.cancel_requests()
-        self.memory_claim.update(0)
+        self.read_ahead.release_memory()
 
     def eof_received(self) -> None:
         """Handle a close by the client; data that was written is still flushed. Called by the event loop."""
@@ -155,8 +155,7 @@
         message = self.exchange.message
         body = reader.streamed_body
         if self.write_blocked:
-            timeout_s = WRITE_TIMEOUT_S if self.exchange.source is None else STREAM_WRITE_TIMEOUT_S
-            self.phase.enter_closing(timeout_s)
+            self._await_delivery()
         elif message is not None and body is not None and message.streamed_body is body:
             self.phase.enter(self.context.phases.receiving_body)
         elif message is not None or reader.requests:
@@ -190,25 +189,22 @@
         )
         return may_close(state, reason)
 
-    def reject_incomplete(self) -> None:
-        """Respond with 503 to a request that is still incomplete during a shutdown, and close if idle.
-
-        If the connection were closed without a response, the last byte of the request could already be on
-        its way, and the client would never get the response that is due for it.
-        """
-        if self.reader.has_partial_request:
-            if self.may_close(CloseReason.DESCRIPTORS_EXHAUSTED) is None:
-                self.abandon_request(RequestError(503, "this gateway is leaving: ask again"))
-        elif self.may_close(CloseReason.IDLE) is None:
-            self.close(DRAINED)
+    def _await_delivery(self) -> None:
+        """Enter the phase in which the client has to take data that was written."""
+        if self.phase.enter(self.context.phases.sending):
+            self.write_progress.has_advanced()
 
     def close(self, reason: str = RESPONDED) -> None:
-        """Close when all written data has been sent, or after `WRITE_TIMEOUT_S`."""
+        """Close when the client has taken all written data, or has stopped reading."""
         self._record_close(reason)
         self.is_closing = True
-        if self.transport is not None:
-            self.phase.enter_closing(WRITE_TIMEOUT_S)
-            self.transport.close()
+        if self.transport is None:
+            return
+        if self.transport.get_write_buffer_size():
+            self._await_delivery()
+        else:
+            self.phase.enter_closing(CLOSE_TIMEOUT_S)
+        self.transport.close()
 
     def abort(self, reason: str = ABORTED) -> None:
         """Close at once; data that is still in the write buffer is lost."""
@@ -250,12 +246,12 @@
         self.parse(bytes(self.context.buffer[:size]))
         self.handle_next()
         self.update_phase()
-        self.update_memory()
+        self.read_ahead.update_memory()
 
     def parse(self, data: bytes) -> None:
         """Parse `data` after data still unparsed; reading pauses while any data stays unparsed."""
         assert self.transport is not None
-        self.reader.feed(data, self.read_ahead_limit())
+        self.reader.feed(data, self.read_ahead.limit)
         self.handle_read_error()
         if self.is_closing:
             return
@@ -266,19 +262,6 @@
             self.context.unwatch(self)
         self.send_continue()
 
-    def read_ahead_limit(self) -> int:
-        """Return how many requests may wait behind the one in progress."""
-        if self.context.memory_budget.allows_read_ahead:
-            return MAX_PIPELINED
-        is_receiving_body = self.reader.streamed_body is not None
-        return 1 if is_receiving_body or not self.exchange.is_busy else 0
-
-    def update_memory(self) -> None:
-        """Report the memory of the requests that were received and have no response yet."""
-        message = self.exchange.message
-        in_progress = message.memory_bytes if message is not None else 0
-        self.memory_claim.update(self.reader.held_bytes + in_progress)
-
     def resume_parsing(self) -> None:
         """Parse the unparsed data, now that there is capacity for it."""
         if self.transport is None or self.is_closing or self.transport.is_closing():
@@ -286,7 +269,7 @@
         if self.reader.unparsed:
             self.parse(b"")
             self.handle_next()
-            self.update_memory()
+            self.read_ahead.update_memory()
         self.update_phase()
 
     def resume_parsing_soon(self) -> None:
@@ -325,7 +308,7 @@
             return
         self.exchange.start(self.reader.requests.popleft())
         self.send_continue()
-        self.update_memory()
+        self.read_ahead.update_memory()
         if self.reader.unparsed and self.reader.streamed_body is not None:
             self.resume_parsing_soon()  # parsing may have stopped within the body of this request
 
@@ -340,22 +323,18 @@
             return True  # the response is sent before the body is complete
         if not message.keep_alive:
             return True
-        drain = self.context.drain
-        if not drain.is_draining:
-            return False
-        # During a drain, requests that were read still get a response; a shutdown limits this by its cutoff.
         has_more = bool(self.reader.requests) or self.reader.has_partial_request
-        return not has_more or drain.is_past_response_cutoff(asyncio.get_running_loop().time())
+        return self.context.drain.ends_connection(asyncio.get_running_loop().time(), has_more)
 
     def on_response_written(self, message: HttpRequest, is_last: bool) -> None:
         """Continue with the next request, or close the connection after its last response."""
         if not is_last:
             self.handle_next_soon()
             self.update_phase()
-            self.update_memory()
+            self.read_ahead.update_memory()
             return
         self.reader.requests.clear()
-        self.update_memory()
+        self.read_ahead.update_memory()
         if message.streamed_body is not None and not message.streamed_body.is_finished:
             self._discard(message.streamed_body)
         elif message.error is not None:
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -20,6 +20,7 @@
 from sagetrack.http1.descriptors import DescriptorBudget
 from sagetrack.http1.downstream import ClientConnection, ClientContext
 from sagetrack.http1.exchange import ExchangeContext
+from sagetrack.http1.requests import RequestError
 
 DRAIN_POLL_S = 0.02  # interval of checks for connections to close during a drain
 SWEEP_S = 0.2  # interval of checks for connections whose time limit has passed
@@ -157,9 +158,21 @@
                 self.stop_listening()
             if not self.is_listening and not self.drain.awaits_incomplete_requests(loop.time()):
                 for connection in list(self.connections):
-                    connection.reject_incomplete()
+                    self._reject_incomplete(connection)
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _reject_incomplete(self, connection: ClientConnection) -> None:
+        """Respond with 503 to a request that is still incomplete during a shutdown, and close if idle.
+
+        If the connection were closed without a response, the last byte of the request could already be on
+        its way, and the client would never get the response that is due for it.
+        """
+        if connection.reader.has_partial_request:
+            if connection.may_close(CloseReason.DESCRIPTORS_EXHAUSTED) is None:
+                connection.abandon_request(RequestError(503, "this gateway is leaving: ask again"))
+        elif connection.may_close(CloseReason.IDLE) is None:
+            connection.close(DRAINED)
+
     def stop_listening(self) -> None:
         """Close this process's descriptor of the listening socket, if that loses no waiting connection.
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 import pytest
 
 from sagetrack.core.bodies import MAX_BUFFER_PER_BODY, MIN_BUFFER_PER_BODY, BodyMemoryBudget, StreamedBody
+from sagetrack.http1 import connection_phases as phases_module
 from sagetrack.http1 import downstream as downstream_module
 from sagetrack.http1 import request_reader as reader_module
 from sagetrack.http1.codec import READ_SIZE
@@ -29,6 +31,7 @@
 from tests.sockets import (
     Client,
     Exchange,
+    RunningGateway,
     Script,
     configuration,
     http_response,
@@ -400,13 +403,9 @@
 
 
 @on_event_loop
-async def test_backpressure_of_a_slow_client_reaches_the_server_and_nothing_is_lost(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+async def test_backpressure_of_a_slow_client_reaches_the_server_and_nothing_is_lost() -> None:
     body = bytes(24 * MEGABYTE)
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
-    # The write timeout of buffered responses does not apply to streamed ones.
-    monkeypatch.setattr(downstream_module, "WRITE_TIMEOUT_S", 0.0)
     async with (
         scripted_server(respond_with(head + body)) as upstream,
         running_gateway(configuration(upstream)) as run,
@@ -426,6 +425,69 @@
         client.close()
 
 
+@asynccontextmanager
+async def last_response_to_slow_client(length: int) -> AsyncIterator[tuple[RunningGateway, socket.socket]]:
+    """Yield a gateway that closes its connection to a client which has not read the response yet.
+
+    The kernel holds little for this connection, so that the end of the response is still in the write buffer.
+    """
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+    loop = asyncio.get_running_loop()
+    async with (
+        scripted_server(respond_with(head + bytes(length))) as upstream,
+        running_gateway(configuration(upstream)) as run,
+    ):
+        with socket.socket() as client:
+            client.setblocking(False)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await loop.sock_connect(client, ("127.0.0.1", run.port))
+            await wait_until(lambda: run.listener.connections)
+            (connection,) = run.listener.connections
+            assert connection.transport is not None
+            connection.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 8192
+            )
+            await loop.sock_sendall(client, request("search", connection="close"))
+            await wait_until(lambda: connection.is_closing)
+            assert connection.transport.get_write_buffer_size() > 0
+            yield run, client
+
+
+async def read_to_end(client: socket.socket, pause_s: float) -> bytes:
+    """Read until the connection ends, with a pause after each piece."""
+    received = b""
+    while piece := await asyncio.get_running_loop().sock_recv(client, 8192):
+        received += piece
+        await asyncio.sleep(pause_s)
+    return received.partition(b"\r\n\r\n")[2]
+
+
+# Guards against cutting off the end of a response that its client is still reading (review/3).
+@on_event_loop
+async def test_a_client_that_rests_for_seconds_gets_the_end_of_its_last_response() -> None:
+    async with last_response_to_slow_client(100_000) as (_, client):
+        await asyncio.sleep(3.0)
+        assert len(await read_to_end(client, 0.0)) == 100_000
+
+
+@on_event_loop
+async def test_a_closing_connection_lasts_as_long_as_its_client_reads(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(phases_module, "WRITE_STALL_TIMEOUT_S", 0.5)
+    async with last_response_to_slow_client(100_000) as (_, client):
+        assert len(await read_to_end(client, 0.15)) == 100_000
+
+
+@on_event_loop
+async def test_a_closing_connection_whose_client_does_not_read_is_aborted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(phases_module, "WRITE_STALL_TIMEOUT_S", 0.5)
+    async with last_response_to_slow_client(100_000) as (run, _):
+        await wait_until(lambda: not run.listener.connections)
+
+
 def peak_memory_mb(pid: int) -> float:
     status = Path(f"/proc/{pid}/status").read_text()
     return int(status.partition("VmHWM:")[2].split()[0]) / 1024
--- a/tests/test_connection_phases.py
+++ b/tests/test_connection_phases.py
@@ -12,18 +12,31 @@
     KEEPALIVE_MANY_CLIENTS_S,
     KEEPALIVE_S,
     REQUEST_TIMEOUT_S,
+    WRITE_STALL_TIMEOUT_S,
     ConnectionPhases,
     PhaseTracker,
 )
+from sagetrack.http1.write_progress import WriteProgress
 from tests.sockets import on_event_loop
 
 
+class Progress(WriteProgress):
+    """Reports the progress that a test sets."""
+
+    def __init__(self, advances: bool = False) -> None:
+        self.advances = advances
+
+    def has_advanced(self) -> bool:
+        return self.advances
+
+
 class Connection:
     """A connection that records the calls on it together with its name."""
 
     def __init__(self, events: list[str], name: str, denial: DenialReason | None = None) -> None:
         self.events, self.name, self.denial = events, name, denial
         self.is_closing = False
+        self.write_progress = Progress()
 
     def may_close(self, reason: CloseReason) -> DenialReason | None:
         return self.denial
@@ -71,6 +84,24 @@
     assert events == ["idle closed: idle", "body body since 1"]
 
 
+def test_only_a_client_that_has_stopped_reading_is_aborted() -> None:
+    events: list[str] = []
+    phases = ConnectionPhases()
+    reading, stopped = Connection(events, "reading"), Connection(events, "stopped")
+    reading.write_progress = Progress(advances=True)
+    phases.sending |= {reading: 100.0, stopped: 100.0}
+    phases.close_expired(100.0 + WRITE_STALL_TIMEOUT_S - 0.01, False)
+    assert events == []
+    phases.close_expired(100.0 + WRITE_STALL_TIMEOUT_S + 0.01, False)
+    assert events == ["stopped aborted"]
+    del phases.sending[stopped]
+    reading.write_progress = Progress(advances=False)
+    phases.close_expired(100.0 + 2 * WRITE_STALL_TIMEOUT_S, False)
+    assert events == ["stopped aborted"]  # the limit has begun again when the client was found to read
+    phases.close_expired(100.0 + 2 * WRITE_STALL_TIMEOUT_S + 0.02, False)
+    assert events == ["stopped aborted", "reading aborted"]
+
+
 @on_event_loop
 async def test_descriptors_are_reclaimed_from_overdue_clients_first() -> None:
     now_s = asyncio.get_running_loop().time()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -23,7 +23,8 @@
 from sagetrack.core.clock import now_us
 from sagetrack.core.endpoints import Endpoint
 from sagetrack.core.peer_close import has_peer_closed
-from sagetrack.http1.downstream import MAX_PIPELINED, ClientConnection
+from sagetrack.http1.downstream import ClientConnection
+from sagetrack.http1.read_ahead import MAX_PIPELINED
 from sagetrack.policy.actions import Action, SetTimer
 from sagetrack.policy.events import ListedServer, Outcome, RequestArrived, TimerFired
 from tests.grpc_helpers import GrpcUpstreamFixture, grpc_upstream_fixture, request_head, send_request
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -10,7 +10,7 @@
 from sagetrack.core.clock import now_us
 from sagetrack.core.drain import SHUTDOWN_ACCEPT_S
 from sagetrack.discovery.endpoint_parsing import parse_endpoint_list
-from sagetrack.http1.downstream import MAX_PIPELINED
+from sagetrack.http1.read_ahead import MAX_PIPELINED
 from sagetrack.http1.upstream_connection import UpstreamConnection
 from sagetrack.policy.events import AttemptEnded, ListKind, Outcome, RequestArrived
 from tests.helpers import GATEWAY_CLOCK_USERS
