Forward a response that has no length and ends with its connection

Cause: ResponseReader took a head without Content-Length and Transfer-Encoding for a protocol error, and nothing looked at the end of the connection. Discovery's answers were read by the same code.

Change: a 200 without a length is complete when its server closes the connection; a reset is no end. A coding other than chunked is an error at once: a coded body went to the client without the name of its coding.

--- a/sagetrack/http1/codec.py
+++ b/sagetrack/http1/codec.py
@@ -59,11 +59,13 @@
 
     With `streams`, the body of a response of status 200 may be longer than `limit`. Once `needs_streaming` is
     true, the owner reads the head with `head` and the body with `take_body`. When the response is complete,
-    `feed` returns it with the rest of the body.
+    `feed` returns it with the rest of the body. A response of status 200 without a length ends with its
+    connection, and is returned by `finish`.
     """
 
     __slots__ = (
         "_body",
+        "_ends_at_close",
         "_headers",
         "_interim_count",
         "_length",
@@ -88,6 +90,7 @@
         self._body: list[bytes | bytearray] = []
         self._size = 0
         self._interim_count = 0
+        self._ends_at_close = False  # the body of the response in progress ends with the connection
         self._unparsed = 0  # bytes fed since the parser last reported a complete head, a body part or the end
         self.has_partial_response = False  # part of a response has been parsed
 
@@ -118,6 +121,17 @@
         self._interim_count = 0
         return response
 
+    def finish(self) -> Response | None:
+        """Return the response that the peer has completed by closing the connection; None if there is none.
+
+        This must not be called after a reset, which completes nothing.
+        """
+        if not self._ends_at_close:
+            return None
+        response = Response(200, self._headers, self.take_body(), False, None)
+        self._end_response()
+        return response
+
     @property
     def needs_streaming(self) -> bool:
         """True if the response is too long to be buffered and a part of its body has been received."""
@@ -125,8 +139,8 @@
 
     @property
     def has_unknown_length(self) -> bool:
-        """True if the response has no Content-Length, so that it may be too long to be buffered."""
-        return self.in_body and self._length is None
+        """True if the response is chunked, so that it may be too long to be buffered."""
+        return self.in_body and self._length is None and not self._ends_at_close
 
     def head(self) -> Response:
         """Return the head of the streamed response in progress, with an empty body."""
@@ -173,7 +187,11 @@
             raise ResponseError(f"response body is longer than {self._size_limit} bytes")
         if status < 200 or status in (204, 304):
             return
-        if length is None and find_header(self._headers, b"transfer-encoding") is None:
+        coding = find_header(self._headers, b"transfer-encoding")
+        if coding is not None and coding.lower() != b"chunked":
+            raise ResponseError("response has a transfer coding other than chunked")
+        self._ends_at_close = length is None and coding is None
+        if self._ends_at_close and status != 200:
             raise ResponseError("response has neither Content-Length nor Transfer-Encoding")
 
     @property
@@ -199,8 +217,13 @@
             self._interim_count += 1
             if self._interim_count > INTERIM_LIMIT:
                 raise ResponseError(f"more than {INTERIM_LIMIT} interim responses before the final response")
+        self._end_response()
+
+    def _end_response(self) -> None:
+        """Reset the state of the response in progress, which is complete."""
         self._headers = []
         self._body = []
         self._unparsed = 0
         self.has_partial_response = False
         self.in_body = False
+        self._ends_at_close = False
--- a/sagetrack/http1/discovery_connection.py
+++ b/sagetrack/http1/discovery_connection.py
@@ -36,6 +36,13 @@
         except ResponseError as error:
             self.fail(str(error))
             return
+        self._resolve(response)
+
+    def eof_received(self) -> None:
+        """Handle the end of a response that ends with the connection; called by the event loop."""
+        self._resolve(self.responses.finish())
+
+    def _resolve(self, response: Response | None) -> None:
         if response is not None and self.pending_response is not None and not self.pending_response.done():
             self.pending_response.set_result(response)
 
--- a/sagetrack/http1/upstream_connection.py
+++ b/sagetrack/http1/upstream_connection.py
@@ -239,6 +239,12 @@
         elif self.responses.has_unknown_length and self.stream_timer is None:
             self.stream_timer = self.owner.loop.call_later(STREAM_AFTER_S, self.start_stream)
 
+    def eof_received(self) -> None:
+        """Forward a response that ends with the connection; called by the event loop."""
+        response = self.responses.finish()
+        if response is not None:
+            self.owner.on_response(self, response)
+
     def cancel_stream_timer(self) -> None:
         """Cancel the timer after which a response of unknown length is streamed."""
         if self.stream_timer is not None:
