Drop a hedged attempt's response while another one is being streamed

Cause: GatewayAttemptObserver._respond finished the request with any successful response, also while another attempt was streaming its own.

Change: it drops the response then.

Result: the new test failed before, with 150,002 of 200,000 bytes followed by the second response, and passes now; tests of races, hedging and requests in flight pass.

--- a/sagetrack/core/attempt_observer.py
+++ b/sagetrack/core/attempt_observer.py
@@ -138,7 +138,10 @@
         )
 
     def _respond(self, attempt: Attempt, response: AnyResponse | None) -> None:
-        """Send the final response to the client, if this attempt was streaming it or has succeeded."""
+        """Send the final response to the client, if this attempt was streaming it or has succeeded.
+
+        A response that comes while the response of another attempt is streamed is dropped.
+        """
         in_flight = self._in_flight
         context = self._context
         request = in_flight.request
@@ -150,7 +153,7 @@
             else:
                 in_flight.count_in(context.metrics.errored)
                 request.client.on_response_aborted(request)
-        elif response is not None:
+        elif response is not None and in_flight.streaming_attempt is None:
             context.in_flight.finish(in_flight)
             in_flight.count_in(context.metrics.answered)
             request.client.on_response(request, response)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -132,6 +132,28 @@
             client.close()
 
 
+# Guards against writing a second response into one that is being streamed (review/REPORT.md).
+@on_event_loop
+async def test_a_response_of_a_hedged_attempt_is_dropped_while_another_one_is_streamed() -> None:
+    async with scripted_server(no_response) as upstream, scripted_server(no_response) as other:
+        config = configuration(upstream, other, mayCancel=False, secondCopies=True)
+        async with running_gateway(config) as run:
+            run.gateway.balancer.latency.smoothed_us = [1_000.0] * 3  # a hedged attempt is made after 4 ms
+            client = await run.connect()
+            client.send(request())
+            await wait_until(lambda: upstream.exchanges and other.exchanges)
+            (in_flight,) = run.gateway.in_flight.values()
+            upstream.exchanges[0].respond(http_response(200, b"a" * 200_000)[:150_000])
+            await wait_until(lambda: in_flight.streaming_attempt is not None)
+            other.exchanges[0].respond(http_response(200, b"second"))
+            await wait_until(lambda: in_flight.attempts_in_flight == 1)
+            upstream.exchanges[0].respond(http_response(200, b"a" * 200_000)[150_000:])
+            assert (await client.read_response()).body == b"a" * 200_000
+            client.send(request())
+            await wait_until(lambda: len(upstream.exchanges) + len(other.exchanges) >= 3)
+            client.close()
+
+
 @pytest.mark.parametrize("is_window_over", [True, False])
 @on_event_loop
 async def test_a_retry_connected_after_its_deduplication_window_is_not_sent(
