Use the late response of a slow discovery service

Cause: DiscoveryClient closed each call at its limit of half the planned grace, however often that had happened. A longer limit does not fit the sums of core/deadlines.py.

Change: where lists are polled, a call past its limit fails as before, but its connection is kept for up to 5 s, two at once, beside the next calls. Its response is used unless a newer list was used meanwhile or it lists changes to another version. Pushed lists are as before.

--- a/sagetrack/discovery/client.py
+++ b/sagetrack/discovery/client.py
@@ -23,6 +23,7 @@
 from sagetrack.discovery.endpoint_list_json import EndpointListSnapshot
 from sagetrack.discovery.endpoint_parsing import EndpointListUpdate, parse_endpoint_list
 from sagetrack.discovery.errors import DiscoveryCallError
+from sagetrack.discovery.late_calls import LateCall, LateCalls
 from sagetrack.discovery.version_check import VersionCheck
 from sagetrack.policy.events import ListKind
 
@@ -82,6 +83,7 @@
         self._rewatch_timer: asyncio.TimerHandle | None = None  # restarts the watch after a failure
         self._first_call_ended = asyncio.Event()  # set after success as well as failure
         self._closed = False
+        self._late_calls = LateCalls(self._on_late_response)
         self._version_check = VersionCheck()
         self._snapshot = EndpointListSnapshot()
 
@@ -169,6 +171,7 @@
                 task.cancel()
         self.watch_task = None
         self._fetch_task = None
+        self._late_calls.close()
 
     # Failures
 
@@ -211,7 +214,8 @@
         try:
             await self._call(connection, LIST_PATH, 0.0)
         finally:
-            connection.close()
+            if not self._late_calls.holds(connection):
+                connection.close()
 
     async def _watch(self) -> None:
         if self.history.is_overloaded and not self.is_pushed:
@@ -227,7 +231,8 @@
                 else:
                     await self._poll(connection, self.version)
         finally:
-            connection.close()
+            if not self._late_calls.holds(connection):
+                connection.close()
 
     async def _poll(self, connection: DiscoveryConnection, version: int) -> None:
         """Request the changes since a version by a long poll."""
@@ -252,8 +257,7 @@
         """
         host, port = self.address
         head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (target, host.encode(), port)
-        async with asyncio.timeout(poll_wait_s + self.limits.response_timeout_s):
-            response = await connection.request(head)
+        response = await self._await_response(connection, head, poll_wait_s + self.limits.response_timeout_s)
         self.history.on_status(response.status)
         if response.status != STATUS_OK:
             raise DiscoveryCallError(f"unexpected HTTP status {response.status}")
@@ -261,6 +265,41 @@
             connection.close()
         self._apply_response(response)
 
+    async def _await_response(
+        self, connection: DiscoveryConnection, head: bytes, timeout_s: float
+    ) -> Response:
+        """Send a request and return its response.
+
+        Raises:
+            TimeoutError: There is none in time. If lists are polled, it is still used if it comes later.
+        """
+        task = asyncio.get_running_loop().create_task(connection.request(head))
+        try:
+            done, _ = await asyncio.wait({task}, timeout=timeout_s)
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        if done:
+            return task.result()
+        if self.is_pushed or not self._late_calls.keep(LateCall(connection, task, self.version)):
+            task.cancel()
+            connection.close()
+        raise TimeoutError
+
+    def _on_late_response(self, call: LateCall, response: Response) -> None:
+        """Use the response of a call that had exceeded its time limit, unless a newer one was used before."""
+        self.history.on_status(response.status)
+        newest = self._version_check.newest
+        if response.status != STATUS_OK or self._closed:
+            return
+        try:
+            update = parse_endpoint_list(json.loads(response.body), self.names)
+            is_applicable = update.is_complete or call.since_version == self.version
+            if is_applicable and (newest is None or update.version >= newest):
+                self._apply_response(response)
+        except (DiscoveryCallError, KeyError, TypeError, ValueError) as error:
+            log(f"late discovery response unusable: {error!r}")
+
     def _apply_response(self, response: Response) -> None:
         raw = json.loads(response.body)
         update = parse_endpoint_list(raw, self.names)
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sagetrack.core.deadlines import SILENT_WATCH_LIMIT_S
 from sagetrack.discovery.endpoint_parsing import parse_endpoint_list
 from sagetrack.policy.actions import FetchEndpoints, WatchEndpoints
 from sagetrack.policy.events import EndpointList, ListKind, ServerStatus, TimerFired
@@ -349,3 +350,68 @@
         run.assembly.discovery.on_list = fails
         seen = len(registry.exchanges)
         await wait_until(lambda: len(registry.exchanges) >= seen + 3)
+
+
+def reset_first_then_respond_late(delay_s: float, data: bytes) -> Script:
+    """Return a script that resets its first connection, and then sends the same data after a delay."""
+    is_first = True
+
+    async def script(exchange: Exchange) -> None:
+        nonlocal is_first
+        if is_first:
+            is_first = False
+            exchange.reset()
+            return
+        await asyncio.sleep(delay_s)
+        exchange.respond(data)
+
+    return script
+
+
+# Guards against never hearing a discovery service that takes longer than the time limit of a call.
+@on_event_loop
+async def test_changes_of_a_slow_service_are_received_although_each_call_exceeds_its_limit() -> None:
+    serving = endpoint("s-0", "127.0.0.1:1")
+    draining = list_response(9, endpoint("s-0", "127.0.0.1:1", status="DRAINING"))
+    async with scripted_server(respond_with(list_response(8, serving))) as discovery:
+        config = configuration("127.0.0.1:1", discovery=discovery.address)
+        config["settings"]["membershipMode"] = "on_request"
+        async with running_gateway(config) as run:
+            limit_s = run.assembly.discovery.limits.response_timeout_s
+            grace_s = run.gateway.settings.stop_sending_within_us / 1e6
+            run.gateway.executor.execute(WatchEndpoints())
+            await wait_until(lambda: run.assembly.discovery.version == 8)
+            discovery.script = reset_first_then_respond_late(1.5 * limit_s, draining)
+            loop = asyncio.get_running_loop()
+            changed_s = loop.time()
+            known = run.gateway.balancer.servers[server_id(0)]
+            await wait_until(lambda: known.entry.status is ServerStatus.DRAINING)
+            assert loop.time() - changed_s < SILENT_WATCH_LIMIT_S + grace_s
+            counts = run.assembly.discovery.history.counts.metric_values()
+            assert any("late" in name and count > 0 for name, count in counts.items())
+
+
+@on_event_loop
+async def test_a_late_response_does_not_undo_a_newer_one() -> None:
+    serving = endpoint("s-0", "127.0.0.1:1")
+    draining = endpoint("s-0", "127.0.0.1:1", status="DRAINING")
+    late = asyncio.Event()
+
+    async def first_late(exchange: Exchange) -> None:
+        if len(discovery.exchanges) == 1:
+            await late.wait()
+            exchange.respond(list_response(8, serving))
+        elif len(discovery.exchanges) == 2:
+            exchange.respond(list_response(9, draining))
+
+    async with scripted_server(first_late) as discovery:
+        config = configuration("127.0.0.1:1", discovery=discovery.address)
+        config["settings"]["membershipMode"] = "on_request"
+        async with running_gateway(config) as run:
+            client = run.assembly.discovery
+            run.gateway.executor.execute(WatchEndpoints())
+            await wait_until(lambda: client.version == 9)
+            late.set()
+            await wait_until(lambda: discovery.closed_connections)
+            assert run.gateway.balancer.servers[server_id(0)].entry.status is ServerStatus.DRAINING
+            assert client.version == 9
