Processes of one gateway share its memory budgets

Change: both budgets are divided by the number of processes, which the listener already passes to the load balancer.

Result: the new test fails without the call and passes; tests of client limits, descriptors, hot restart and sizes pass (128).

--- a/sagetrack/core/bodies.py
+++ b/sagetrack/core/bodies.py
@@ -40,19 +40,21 @@
     Attributes:
         total_bytes: The budget of all bodies together, in bytes.
         active_bodies: Number of bodies being streamed.
+        process_count: Number of processes of this gateway, which share the budget.
     """
 
-    __slots__ = ("active_bodies", "total_bytes")
+    __slots__ = ("active_bodies", "process_count", "total_bytes")
 
     def __init__(self, memory_mb: int) -> None:
         """Create a budget of a fixed share of the memory limit, which is given in MiB."""
         self.total_bytes = int(memory_mb * 1024 * 1024 * BUFFER_MEMORY_SHARE)
         self.active_bodies = 0
+        self.process_count = 1
 
     @property
     def bytes_per_body(self) -> int:
         """Number of bytes that each body may buffer at present."""
-        share = self.total_bytes // max(1, self.active_bodies)
+        share = self.total_bytes // self.process_count // max(1, self.active_bodies)
         return max(MIN_BUFFER_PER_BODY, min(MAX_BUFFER_PER_BODY, share))
 
 
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -55,6 +55,11 @@
         self.buffer = memoryview(bytearray(READ_SIZE))
         self.closes = ClientCloses(exchange_context.gateway)
 
+    def set_process_count(self, processes: int) -> None:
+        """Divide the memory budgets by the number of processes of this gateway."""
+        self.body_budget.process_count = processes
+        self.memory_budget.process_count = processes
+
     def watch_paused(self, connection: ClientConnection) -> None:
         """Detect a close by the client on a connection on which reading is paused."""
         self.paused.add(connection)
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -56,7 +56,7 @@
 
     def prepare(self, source: EndpointSource) -> None:
         """Start the gateway with this endpoint source; requests are admitted once it provides a list."""
-        self.gateway.set_process_count(1 + self.siblings.sibling_count)
+        self._apply_process_count()
         self.gateway.start(source)
 
     def start(self, listener: socket.socket) -> None:
@@ -99,11 +99,17 @@
         previous_count = self.siblings.sibling_count
         self.siblings.refresh()
         if self.siblings.sibling_count != previous_count:
-            self.gateway.set_process_count(1 + self.siblings.sibling_count)
+            self._apply_process_count()
         self.descriptors.shrink_to_limit()
         self.sweep_timer = loop.call_later(SWEEP_S, self.sweep)
         self.context.phases.close_expired(loop.time(), self.descriptors.has_many_clients)
 
+    def _apply_process_count(self) -> None:
+        """Pass the number of processes of this gateway on to all that share a limit with them."""
+        processes = 1 + self.siblings.sibling_count
+        self.gateway.set_process_count(processes)
+        self.context.set_process_count(processes)
+
     # Admin commands
 
     def status(self) -> bool:
--- a/sagetrack/http1/request_memory.py
+++ b/sagetrack/http1/request_memory.py
@@ -19,24 +19,31 @@
     Attributes:
         total_bytes: The budget in bytes.
         used_bytes: The sum of all claims in bytes.
+        process_count: Number of processes of this gateway, which share the budget.
     """
 
-    __slots__ = ("total_bytes", "used_bytes")
+    __slots__ = ("process_count", "total_bytes", "used_bytes")
 
     def __init__(self, memory_mb: int) -> None:
         """Create a budget of a fixed share of the memory limit, which is given in MiB."""
         self.total_bytes = int(memory_mb * 1024 * 1024 * BUDGET_SHARE)
         self.used_bytes = 0
+        self.process_count = 1
+
+    @property
+    def available_bytes(self) -> int:
+        """The part of the budget that this process may use."""
+        return self.total_bytes // self.process_count
 
     @property
     def allows_read_ahead(self) -> bool:
         """True if requests may be read while an earlier one of the same connection is in progress."""
-        return self.used_bytes < self.total_bytes * READ_AHEAD_SHARE
+        return self.used_bytes < self.available_bytes * READ_AHEAD_SHARE
 
     @property
     def is_exhausted(self) -> bool:
         """True if no further request with a body is accepted."""
-        return self.used_bytes >= self.total_bytes
+        return self.used_bytes >= self.available_bytes
 
 
 class MemoryClaim:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from sagetrack.core.bodies import MAX_BUFFER_PER_BODY
 from sagetrack.core.deadlines import REUSE_DELAY_S
+from sagetrack.core.processes import NoSiblings
 from sagetrack.core.send_rules import CloseReason
 from sagetrack.http1 import connection_phases as phases_module
 from sagetrack.http1 import downstream as downstream_module
@@ -304,3 +306,23 @@
         assert [(await client.read_response()).status for _ in range(3)] == [200] * 3
         assert upstream.exchanges[-1].message.body == body
         client.close()
+
+
+class TwoSiblings(NoSiblings):
+    """Reports two other processes of the same gateway from the first refresh on."""
+
+    def refresh(self) -> None:
+        self.sibling_count = 2
+
+
+@on_event_loop
+async def test_processes_of_one_gateway_share_its_memory_budgets() -> None:
+    async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
+        context = run.listener.context
+        alone = context.memory_budget.available_bytes
+        context.body_budget.active_bodies = context.body_budget.total_bytes // MAX_BUFFER_PER_BODY
+        assert context.body_budget.bytes_per_body == MAX_BUFFER_PER_BODY
+        run.listener.siblings = TwoSiblings()
+        run.listener.sweep()
+        assert context.memory_budget.available_bytes == alone // 3
+        assert context.body_budget.bytes_per_body < MAX_BUFFER_PER_BODY // 2
