Reset the connection of an aborted response that would end with it

Cause: a client of HTTP/1.0 gets a streamed response of unknown length without chunks, so that only the close shows its end.

Change: such a connection is reset (SO_LINGER with a time of 0).

Result: the new test got the end of the stream before and a reset now; tests of bodies, clients and sizes pass.

--- a/sagetrack/http1/exchange.py
+++ b/sagetrack/http1/exchange.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -14,6 +17,7 @@
 from sagetrack.http1.codec import end_to_end_headers
 from sagetrack.http1.requests import HttpRequest, RequestError, read_request
 
+LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0: a close resets the connection
 READY_PATH = b"/health/ready"
 REMOVED_RESPONSE_HEADERS = frozenset({b"x-load-report", b"x-rejected"})
 REASON_PHRASES = {
@@ -75,6 +79,7 @@
     __slots__ = (
         "chunked",
         "context",
+        "ends_at_close",
         "ends_connection",
         "has_responded",
         "message",
@@ -93,6 +98,7 @@
         self.source: ResponseSource | None = None  # source of a streamed response in progress
         self.chunked = False  # True if the streamed response uses chunked transfer encoding
         self.ends_connection = False  # True if the connection is closed after the streamed response
+        self.ends_at_close = False  # True if only the close shows the client where the streamed response ends
         self.has_responded = False  # True if a response has been written on this connection
 
     # Requests
@@ -154,7 +160,7 @@
             return
         self.cancel_request()
         if self.source is not None:
-            self.owner.abort("broken_body")  # the close shows that the response is incomplete
+            self._abort("broken_body")
         else:
             self.respond(message.error.status, message.error.headers, f"{message.error}\n".encode())
 
@@ -221,7 +227,8 @@
             return
         self.source = source
         self.chunked = head.length is None and message.version == "1.1"
-        self.ends_connection = self.owner.is_last(message) or (head.length is None and not self.chunked)
+        self.ends_at_close = head.length is None and not self.chunked
+        self.ends_connection = self.owner.is_last(message) or self.ends_at_close
         lines = [b"HTTP/1.1 200 OK"]
         lines += [b"%s: %s" % pair for pair in end_to_end_headers(head.headers, REMOVED_RESPONSE_HEADERS)]
         if head.length is not None:
@@ -253,7 +260,15 @@
         if self.request is request:
             self.request = None
             self.source = None
-            self.owner.abort("broken_answer")
+            self._abort("broken_answer")
+
+    def _abort(self, reason: str) -> None:
+        """Close the connection so that the client can tell that the streamed response is incomplete."""
+        if self.ends_at_close and self.transport is not None:
+            connection = self.transport.get_extra_info("socket")
+            with suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self.owner.abort(reason)
 
     def pause(self) -> None:
         """Pause the source of a streamed response, because the client reads too slowly."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -210,6 +210,22 @@
         client.close()
 
 
+@on_event_loop
+async def test_an_aborted_response_that_would_end_with_its_connection_is_reset() -> None:
+    partial = CHUNKED_HEAD + chunk(LONG[:100_000])
+    async with (
+        scripted_server(respond_with(partial)) as upstream,
+        running_gateway(configuration(upstream)) as run,
+    ):
+        client = await run.connect()
+        client.send(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+        assert b"chunked" not in await client.reader.readuntil(b"\r\n\r\n")
+        await client.reader.readexactly(100_000)
+        upstream.exchanges[0].reset()
+        with pytest.raises(ConnectionResetError):
+            await client.reader.read()
+
+
 @on_event_loop
 async def test_a_disconnect_during_a_streamed_response_frees_the_server() -> None:
     async with (
