--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -51,6 +51,7 @@
         gateway.metrics.metric_sources += [
             self.acceptor.errors.metric_values,
             self.context.closes.counts.metric_values,
+            self.context.memory_budget.metric_values,
         ]
         pools.on_descriptor_needed(self.descriptors.reclaim_for_upstream)
 
--- a/sagetrack/http1/request_memory.py
+++ b/sagetrack/http1/request_memory.py
@@ -20,15 +20,21 @@
         total_bytes: The budget in bytes.
         used_bytes: The sum of all claims in bytes.
         process_count: Number of processes of this gateway, which share the budget.
+        rejected: Number of requests that were rejected because the budget was exhausted.
     """
 
-    __slots__ = ("process_count", "total_bytes", "used_bytes")
+    __slots__ = ("process_count", "rejected", "total_bytes", "used_bytes")
 
     def __init__(self, memory_mb: int) -> None:
         """Create a budget of a fixed share of the memory limit, which is given in MiB."""
         self.total_bytes = int(memory_mb * 1024 * 1024 * BUDGET_SHARE)
         self.used_bytes = 0
         self.process_count = 1
+        self.rejected = 0
+
+    def metric_values(self) -> dict[str, float]:
+        """Return the exported metrics: the memory used, and the number of rejected requests."""
+        return {"request_memory_bytes": self.used_bytes, "request_memory_rejected_total": self.rejected}
 
     @property
     def available_bytes(self) -> int:
--- a/sagetrack/http1/request_reader.py
+++ b/sagetrack/http1/request_reader.py
@@ -230,6 +230,7 @@
     def _claim_memory(self, request: HttpRequest, length: int) -> None:
         """Count a body that will be buffered as if it were complete; reject it if the budget is exhausted."""
         if length and self._memory_budget.is_exhausted:
+            self._memory_budget.rejected += 1
             raise RequestError(503, "too many requests are in progress: ask again")
         self._claimed_bytes = length
         request.memory_bytes += length
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sagetrack.core.metrics import Metrics
+from sagetrack.http1.codec import READ_SIZE
 from sagetrack.policy.events import Outcome
 from sagetrack.server import admin as admin_module
 from sagetrack.server.admin import MAX_CONNECTIONS, MAX_LINE_BYTES, AdminServer
@@ -186,6 +187,7 @@
         }
         # Series whose value is 0 are included.
         assert {name.partition("{")[0] for name in by_reason} == METRICS_BY_REASON
+        assert 0 < metrics.pop("svc_request_memory_bytes") < READ_SIZE  # the pending request
         assert metrics == {
             'svc_answered_total{group="search"}': 3,
             'svc_answered_total{group="hold"}': 0,
@@ -202,6 +204,7 @@
             "svc_current": 1,
             "svc_cluster_size": 1,
             "svc_cluster_unhealthy": 0,
+            "svc_request_memory_rejected_total": 0,
         }
         pending.respond(http_response())
         assert (await client.read_response()).status == 200
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -172,3 +172,7 @@
     without_body, with_body = reader.requests
     assert without_body.error is None
     assert with_body.error is not None and with_body.error.status == 503
+    assert budget.metric_values() == {
+        "request_memory_bytes": budget.total_bytes,
+        "request_memory_rejected_total": 1,
+    }
