Wait for the rest of a half-written configuration file at a start

Cause: `load` at the start retried system errors alone; a reload reads an unusable file again for 2.8 s, a start did not.

Change: a file that is missing, unreadable or not valid JSON (the operator's: not valid TOML) raises an error of its own, `IncompleteConfigError` or `IncompleteFileError`, and the start reads it again for as long as it waits for everything else (`RETRY_TIMEOUT_S`, 6 s). A file that is complete and wrong still ends the process at once with one line and status 2.

Measured: the new test fails without the change (exit status 2 within 0.2 s) and passes with it; tests of the start, reload, configuration and command line pass.

--- a/sagetrack/config/errors.py
+++ b/sagetrack/config/errors.py
@@ -13,6 +13,10 @@
     """The configuration is invalid. The one-line message describes the first fault only."""
 
 
+class IncompleteConfigError(ConfigError):
+    """The file is missing, unreadable or not valid JSON, as it is while it is being written."""
+
+
 class FileError(ConfigurationError):
     """A configuration file is invalid; `faults` has a one-line message for each fault."""
 
@@ -21,7 +25,11 @@
         self.faults = faults
 
 
-class UnreadableError(FileError):
+class IncompleteFileError(FileError):
+    """The file is unreadable or its syntax is invalid, as it is while it is being written."""
+
+
+class UnreadableError(IncompleteFileError):
     """The file cannot be read because of the operating-system error `error`, so its content is unchecked."""
 
     def __init__(self, path: Path, error: OSError) -> None:
--- a/sagetrack/config/platform.py
+++ b/sagetrack/config/platform.py
@@ -8,11 +8,11 @@
 import hashlib
 import json
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
-from sagetrack.config.errors import ConfigError
+from sagetrack.config.errors import ConfigError, IncompleteConfigError
 from sagetrack.policy.parsing import ParseError, parse_settings
 from sagetrack.policy.settings import Settings
 
@@ -20,6 +20,7 @@
     "Address",
     "Config",
     "ConfigError",
+    "IncompleteConfigError",
     "NameIndices",
     "load",
     "parse",
@@ -78,25 +79,22 @@
         return file.read()
 
 
-def load(environment: Mapping[str, str] = os.environ, read: Callable[[str], bytes] = read_file) -> Config:
+def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read and parse the file that LB_CONFIG names.
 
-    Args:
-        environment: the environment variables.
-        read: the function that reads the file; it may retry a failed read.
-
     Raises:
-        ConfigError: LB_CONFIG is not set, or the file is unreadable or invalid.
+        IncompleteConfigError: the file is missing, unreadable or not JSON, perhaps as it is being written.
+        ConfigError: LB_CONFIG is not set, or the configuration is invalid.
     """
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        raw = json.loads(read(path))
+        raw = json.loads(read_file(path))
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
+        raise IncompleteConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
-        raise ConfigError(f"{path} is not JSON: {error}") from None
+        raise IncompleteConfigError(f"{path} is not JSON: {error}") from None
     return parse(raw, environment)
 
 
--- a/sagetrack/config/validation.py
+++ b/sagetrack/config/validation.py
@@ -18,7 +18,7 @@
 from msgspec import inspect
 
 from sagetrack.config.allowed_values import describe, field_names, field_type, type_at
-from sagetrack.config.errors import FileError, UnreadableError
+from sagetrack.config.errors import FileError, IncompleteFileError, UnreadableError
 from sagetrack.config.key_lines import KeyPath, json_key_lines, key_text, nearest_line, toml_key_lines
 
 Structure = TypeVar("Structure")
@@ -59,6 +59,7 @@
 
     Raises:
         UnreadableError: the file cannot be read.
+        IncompleteFileError: the syntax of the file is invalid.
         FileError: the content is invalid; `faults` lists every fault.
     """
     path = Path(path)
@@ -67,7 +68,7 @@
     except OSError as error:
         raise UnreadableError(path, error) from None
     except UnicodeDecodeError:
-        raise FileError([f"{path}: file is not UTF-8 text"]) from None
+        raise IncompleteFileError([f"{path}: file is not UTF-8 text"]) from None
     is_json = path.suffix == ".json"
     raw = _parse(path, text, is_json)
     lines = json_key_lines(text) if is_json else toml_key_lines(text)
@@ -86,7 +87,7 @@
         found = re.search(r"line (\d+)", str(error))
         line = f":{found[1]}" if found is not None else ""
         form = "JSON" if is_json else "TOML"
-        raise FileError([f"{path}{line}: not valid {form}: {str(error).splitlines()[0]}"]) from None
+        raise IncompleteFileError([f"{path}{line}: not valid {form}: {str(error).splitlines()[0]}"]) from None
 
 
 def decode(raw: Any, type_: type[Structure]) -> tuple[Structure | None, list[Fault]]:
--- a/sagetrack/core/transient_errors.py
+++ b/sagetrack/core/transient_errors.py
@@ -25,11 +25,12 @@
 RETRY_DELAY_S = 0.05  # delay between two tries
 
 Result = TypeVar("Result")
+IsTransient = Callable[[Exception], bool]  # returns whether the call that raised this error may be retried
 
 
-def is_transient(error: OSError) -> bool:
-    """Return whether the same call may succeed a moment later."""
-    return error.errno in TRANSIENT_ERRNOS
+def is_transient(error: Exception) -> bool:
+    """Return whether the system call that failed with this error may succeed a moment later."""
+    return isinstance(error, OSError) and error.errno in TRANSIENT_ERRNOS
 
 
 def require_sockets(server: asyncio.Server) -> asyncio.Server:
@@ -52,20 +53,21 @@
 
     result: Result
 
-    def __init__(self, call: Callable[[], Result]) -> None:
+    def __init__(self, call: Callable[[], Result], is_transient: IsTransient) -> None:
         self._call = call
+        self._is_transient = is_transient
         self._end_s = time.monotonic() + RETRY_TIMEOUT_S
 
     def try_once(self) -> bool:
         """Make the call; returns False after a transient error if there is time for another try.
 
         Raises:
-            OSError: The call failed with an error that is not transient, or the time for retries is over.
+            Exception: The call failed with an error that is not transient, or the time for retries is over.
         """
         try:
             self.result = self._call()
-        except OSError as error:
-            if not is_transient(error) or time.monotonic() >= self._end_s:
+        except Exception as error:
+            if not self._is_transient(error) or time.monotonic() >= self._end_s:
                 raise
             return False
         return True
@@ -77,19 +79,27 @@
     Raises:
         OSError: The call failed with an error that is not transient, or still failed after `RETRY_TIMEOUT_S`.
     """
-    retries = _Retries(call)
+    retries = _Retries(call, is_transient)
     while not retries.try_once():
         await asyncio.sleep(RETRY_DELAY_S)
     return retries.result
 
 
-def retry_while_transient_blocking(call: Callable[[], Result]) -> Result:
+def retry_while_transient_blocking(
+    call: Callable[[], Result], is_transient: IsTransient = is_transient
+) -> Result:
     """Do the same as `retry_while_transient` before an event loop runs; sleeps between tries.
 
+    Args:
+        call: The call.
+        is_transient: Returns whether the call may be retried after this error; by default, after those
+            system errors that are usually transient.
+
     Raises:
-        OSError: The call failed with an error that is not transient, or still failed after `RETRY_TIMEOUT_S`.
+        Exception: The call failed with an error that is not transient, or still failed after
+            `RETRY_TIMEOUT_S`.
     """
-    retries = _Retries(call)
+    retries = _Retries(call, is_transient)
     while not retries.try_once():
         time.sleep(RETRY_DELAY_S)
     return retries.result
--- a/sagetrack/server/process.py
+++ b/sagetrack/server/process.py
@@ -84,14 +84,14 @@
         if LB_OPERATOR is not set.
 
     Raises:
-        StartupError: One of the files is missing or invalid.
+        StartupError: One of the files is invalid, or still incomplete after the time for retries.
     """
-    from sagetrack.config.platform import ConfigError, load, read_file
+    from sagetrack.config.platform import ConfigError, IncompleteConfigError, load
     from sagetrack.core.transient_errors import retry_while_transient_blocking
 
     timing.end_phase("imports")
     try:
-        config = load(read=lambda path: retry_while_transient_blocking(lambda: read_file(path)))
+        config = retry_while_transient_blocking(load, lambda error: isinstance(error, IncompleteConfigError))
     except ConfigError as error:
         raise StartupError([str(error)]) from None
     operator_path = os.environ.get("LB_OPERATOR") or None
@@ -104,21 +104,15 @@
 
 
 def _read_operator(path: str) -> Operator:
-    """Read the operator's file, retrying disk errors for a while; StartupError if it is unusable."""
-    from sagetrack.config.errors import FileError, UnreadableError
+    """Read the operator's file, again for a while if it is incomplete; StartupError if it is unusable."""
+    from sagetrack.config.errors import FileError, IncompleteFileError
     from sagetrack.config.operator import load
     from sagetrack.core.transient_errors import retry_while_transient_blocking
 
-    def read() -> Operator:
-        try:
-            return load(path)
-        except UnreadableError as error:
-            raise error.error from None  # `retry_while_transient_blocking` retries after an OSError
-
     try:
-        return retry_while_transient_blocking(read)
-    except OSError as error:
-        raise StartupError([f"{path}: {error.strerror}"]) from None
+        return retry_while_transient_blocking(
+            lambda: load(path), lambda error: isinstance(error, IncompleteFileError)
+        )
     except FileError as error:
         raise StartupError([str(fault) for fault in error.faults]) from None
 
--- a/tests/test_failing_start.py
+++ b/tests/test_failing_start.py
@@ -117,3 +117,28 @@
             env=os.environ | {"LB_CONFIG": str(file)},
         )
         assert await process.wait() == 2
+
+
+@on_event_loop
+async def test_a_start_waits_for_the_rest_of_half_written_configuration_files(tmp_path: Path) -> None:
+    """A reload and a start may coincide; without a process, clients would wait in the shared socket."""
+    async with scripted_server() as upstream:
+        port, admin = free_port(), free_port()
+        complete = json.dumps(configuration(upstream.address) | {"listen": f"127.0.0.1:{port}"})
+        file, operator = tmp_path / "config.json", tmp_path / "operator.toml"
+        file.write_text(complete[: len(complete) // 2])
+        operator.write_text('[log]\nlevel = "warn')
+        names = {"LB_CONFIG": str(file), "LB_ADMIN": f"127.0.0.1:{admin}", "LB_OPERATOR": str(operator)}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sagetrack", cwd=ROOT, env=os.environ | names
+        )
+        try:
+            await asyncio.sleep(FAULT_DURATION_S)
+            file.write_text(complete)
+            await asyncio.sleep(FAULT_DURATION_S)
+            operator.write_text('[log]\nlevel = "warning"\n')
+            await wait_until_ready(port, admin)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
