--- a/sagetrack/core/attempt_observer.py
+++ b/sagetrack/core/attempt_observer.py
@@ -132,7 +132,7 @@
         if not in_flight.is_finished:
             self._respond(attempt, response if succeeded else None)
         elif in_flight.attempts_in_flight == 0:
-            context.in_flight.pop(id_, None)
+            context.in_flight.remove(in_flight)
         return AttemptEnded(
             id_, self._number, attempt.server, outcome, latency_us, in_flight.is_finished, load
         )
--- a/sagetrack/core/bodies.py
+++ b/sagetrack/core/bodies.py
@@ -1,4 +1,4 @@
-"""Streamed request bodies, with flow control and a shared memory budget.
+"""Streamed request bodies, with flow control within the memory budget.
 
 A short body is buffered completely, so that it can be sent again in a retry. A longer one is streamed at the
 speed of the slower side, and cannot be sent again once part of it was forwarded.
@@ -10,11 +10,9 @@
 from collections.abc import Callable, MutableSequence
 
 from sagetrack.core.clock import now_us
+from sagetrack.core.memory_budget import MAX_STREAM_BUFFER, MIN_STREAM_BUFFER, MemoryBudget, MemoryClaim
 
 STREAMED_BODY_LIMIT = 32 * 1024 * 1024  # largest streamed body of a request or response, in bytes
-MAX_BUFFER_PER_BODY = 64 * 1024  # bytes buffered per body before its sender is paused
-MIN_BUFFER_PER_BODY = 8 * 1024  # lower bound of that limit when very many bodies are streamed at once
-BUFFER_MEMORY_SHARE = 0.125  # share of the memory limit used for the buffers of all streamed bodies
 MIN_CHUNK = 4 * 1024  # shorter chunks are joined, as each one costs the memory of an object
 BODY_STALL_TIMEOUT_S = 10.0  # a transfer is aborted after this time without progress
 
@@ -34,30 +32,6 @@
     last += data
 
 
-class BodyMemoryBudget:
-    """The buffer memory shared by all streamed bodies; the more there are, the less each may buffer.
-
-    Attributes:
-        total_bytes: The budget of all bodies together, in bytes.
-        active_bodies: Number of bodies being streamed.
-        process_count: Number of processes of this gateway, which share the budget.
-    """
-
-    __slots__ = ("active_bodies", "process_count", "total_bytes")
-
-    def __init__(self, memory_mb: int) -> None:
-        """Create a budget of a fixed share of the memory limit, which is given in MiB."""
-        self.total_bytes = int(memory_mb * 1024 * 1024 * BUFFER_MEMORY_SHARE)
-        self.active_bodies = 0
-        self.process_count = 1
-
-    @property
-    def bytes_per_body(self) -> int:
-        """Number of bytes that each body may buffer at present."""
-        share = self.total_bytes // self.process_count // max(1, self.active_bodies)
-        return max(MIN_BUFFER_PER_BODY, min(MAX_BUFFER_PER_BODY, share))
-
-
 class StreamedBody:
     """A request body in transit from the client to the upstream server.
 
@@ -65,7 +39,7 @@
 
     Attributes:
         length: The announced length in bytes; None if the body is chunked.
-        body_budget: The memory budget shared with other bodies.
+        budget: The memory budget of the process.
         chunks: The buffered chunks, in order.
         buffered: Number of bytes in `chunks`.
         received: Number of bytes received from the client so far.
@@ -80,9 +54,10 @@
     """
 
     __slots__ = (
-        "body_budget",
+        "budget",
         "buffered",
         "chunks",
+        "claim",
         "completed_us",
         "discarding",
         "forwarding_started",
@@ -95,11 +70,12 @@
         "received",
     )
 
-    def __init__(self, length: int | None, body_budget: BodyMemoryBudget) -> None:
+    def __init__(self, length: int | None, budget: MemoryBudget) -> None:
         """Create an empty body, which counts against the budget until it is finished."""
         self.length = length
-        self.body_budget = body_budget
-        body_budget.active_bodies += 1
+        self.budget = budget
+        self.claim = MemoryClaim(budget)
+        budget.active_bodies += 1
         self.chunks: deque[bytes | bytearray] = deque()
         self.buffered = 0
         self.received = 0
@@ -115,7 +91,14 @@
     @property
     def is_full(self) -> bool:
         """True if the buffer is full and the sender has to pause."""
-        return not self.discarding and self.buffered >= self.body_budget.bytes_per_body
+        return not self.discarding and self.buffered >= self.budget.stream_buffer_bytes
+
+    @property
+    def capacity_bytes(self) -> int:
+        """Number of bytes that may be read from the sender at once; at least `MIN_STREAM_BUFFER`."""
+        if self.discarding:
+            return MAX_STREAM_BUFFER
+        return max(MIN_STREAM_BUFFER, self.budget.stream_buffer_bytes - self.buffered)
 
     @property
     def is_finished(self) -> bool:
@@ -128,7 +111,7 @@
         if self.discarding:
             return
         append_chunk(self.chunks, data)
-        self.buffered += len(data)
+        self._set_buffered(self.buffered + len(data))
         self.on_data()
 
     def take(self) -> bytes:
@@ -136,7 +119,7 @@
         was_full = self.is_full
         chunk = self.chunks.popleft()
         self.forwarding_started = True
-        self.buffered -= len(chunk)
+        self._set_buffered(self.buffered - len(chunk))
         if was_full and not self.is_full:
             self.on_capacity()
         return bytes(chunk)
@@ -146,7 +129,7 @@
         if not self.is_finished:
             self.is_complete = True
             self.completed_us = now_us()
-            self.body_budget.active_bodies -= 1
+            self.budget.active_bodies -= 1
             self.on_complete()
             self.on_data()
 
@@ -154,7 +137,7 @@
         """Mark the body as aborted unless it is complete, and drop the buffered data."""
         if not self.is_finished:
             self.is_aborted = True
-            self.body_budget.active_bodies -= 1
+            self.budget.active_bodies -= 1
         self.discard()
 
     def discard(self) -> None:
@@ -163,5 +146,9 @@
         self.on_data = do_nothing
         self.on_complete = do_nothing
         self.chunks.clear()
-        self.buffered = 0
+        self._set_buffered(0)
         self.on_capacity()
+
+    def _set_buffered(self, buffered: int) -> None:
+        self.buffered = buffered
+        self.claim.update(buffered)
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -157,7 +157,7 @@
             return False
         now = now_us()
         waited_us = max(0, now - request.received_us) if request.received_us else 0
-        self.in_flight[request.id] = InFlightRequest(request, now + request.client_timeout_us - waited_us)
+        self.in_flight.add(InFlightRequest(request, now + request.client_timeout_us - waited_us))
         event = RequestArrived(
             request.id,
             request.class_index,
--- a/sagetrack/core/in_flight.py
+++ b/sagetrack/core/in_flight.py
@@ -13,6 +13,8 @@
 from sagetrack.core.send_rules import AttemptRecord
 from sagetrack.policy.events import RequestCancelled
 
+IN_FLIGHT_BYTES = 4 * 1024  # objects of a request in flight, here and in the load balancer
+
 
 @dataclass(slots=True, eq=False)
 class InFlightRequest:
@@ -80,6 +82,9 @@
     """All requests in flight, by id.
 
     A request is removed when it is finished and its last attempt has ended.
+
+    Attributes:
+        memory_bytes: Estimated memory of all requests in flight.
     """
 
     def __init__(self, upstream: UpstreamPool, trace: EventTrace, post: PostEvent) -> None:
@@ -87,12 +92,24 @@
         self._upstream = upstream
         self._trace = trace
         self._post = post
+        self.memory_bytes = 0
+
+    def add(self, in_flight: InFlightRequest) -> None:
+        """Add a request, whose id must not be in use."""
+        self[in_flight.request.id] = in_flight
+        self.memory_bytes += IN_FLIGHT_BYTES + in_flight.request.memory_bytes
+
+    def remove(self, in_flight: InFlightRequest) -> None:
+        """Remove a request that is finished and has no attempt in flight."""
+        if self.get(in_flight.request.id) is in_flight:
+            del self[in_flight.request.id]
+            self.memory_bytes -= IN_FLIGHT_BYTES + in_flight.request.memory_bytes
 
     def finish(self, in_flight: InFlightRequest) -> None:
         """Mark a request as finished, and cancel its attempts that have not sent anything yet."""
         in_flight.is_finished = True
         if in_flight.attempts_in_flight == 0:
-            del self[in_flight.request.id]
+            self.remove(in_flight)
             return
         for attempt in in_flight.started_attempts():
             self._upstream.cancel_unsent(attempt)
--- a/sagetrack/core/requests.py
+++ b/sagetrack/core/requests.py
@@ -82,6 +82,7 @@
         mirror_target: -1 for a client's request. Any other value marks a mirrored request, and identifies the
             protocol of its upstream servers; see `RequestArrived`.
         received_us: Time at which the last byte was read; 0 means now.
+        memory_bytes: Estimated memory of the request, without a streamed body.
         has_disconnected: Returns whether the client has disconnected, even if the event loop does not know
             it yet.
     """
@@ -99,4 +100,5 @@
     client_id: int = 0
     mirror_target: int = -1
     received_us: int = 0
+    memory_bytes: int = 0
     has_disconnected: Callable[[], bool] = never_disconnected
--- a/sagetrack/core/send_rules.py
+++ b/sagetrack/core/send_rules.py
@@ -176,6 +176,7 @@
     RECLAIM_DESCRIPTOR = "room"  # its file descriptor is needed elsewhere
     # Its file descriptor is needed elsewhere, and none can be reclaimed from another connection.
     DESCRIPTORS_EXHAUSTED = "exhausted"
+    RECLAIM_MEMORY = "memory"  # its memory is needed elsewhere
 
 
 @dataclass(slots=True)
--- a/sagetrack/grpc/downstream_stream.py
+++ b/sagetrack/grpc/downstream_stream.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from sagetrack.core.bodies import BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.clock import now_us
 from sagetrack.core.gateway import Gateway
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.requests import Request, ResponseSource
 from sagetrack.core.responses import Response
 from sagetrack.grpc.calls_pb2 import Answer
@@ -83,9 +84,9 @@
         self.messages.append(message)
         self.buffered_bytes += len(message)
 
-    def start_streaming_body(self, length: int | None, body_budget: BodyMemoryBudget) -> StreamedBody:
+    def start_streaming_body(self, length: int | None, memory_budget: MemoryBudget) -> StreamedBody:
         """Start to stream the body; the client's window is extended as the body is consumed."""
-        body = StreamedBody(length, body_budget)
+        body = StreamedBody(length, memory_budget)
         self.streamed_body = body
         body.on_capacity = lambda: self.connection.reopen_window(self)
         return body
--- a/sagetrack/grpc/fuzz.py
+++ b/sagetrack/grpc/fuzz.py
@@ -17,7 +17,8 @@
 import h2.config
 import h2.connection
 
-from sagetrack.core.bodies import BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.requests import Client, Request
 from sagetrack.core.responses import Header, Response
 from sagetrack.core.send_rules import ServerState
@@ -354,8 +355,8 @@
     result, rng = FuzzResult(), random.Random(seed)
     while result.frames < frames:
         gateway: Any = RandomGateway(rng)
-        body_budget = BodyMemoryBudget(BODY_MEMORY_MB)
-        listener = GrpcListener(gateway, _read_request, lambda: False, body_budget)
+        memory_budget = MemoryBudget(BODY_MEMORY_MB)
+        listener = GrpcListener(gateway, _read_request, lambda: False, memory_budget)
         listener.intake.max_buffered_body = BUFFERED_BODY_BYTES
         connection = GrpcDownstreamConnection(listener.intake, listener)
         transport: Any = RecordingTransport()
@@ -368,7 +369,7 @@
         connection.connection_lost(None)
         result.answered += gateway.ended
         result.unsuccessful += gateway.cancelled
-        bodies = body_budget.active_bodies
+        bodies = memory_budget.active_bodies
         if gateway.unanswered:
             result.failures.append(f"{len(gateway.unanswered)} requests without a response: {data.hex()}")
         if bodies:
--- a/sagetrack/grpc/listener.py
+++ b/sagetrack/grpc/listener.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from sagetrack.config.platform import Address
-from sagetrack.core.bodies import BodyMemoryBudget
 from sagetrack.core.clock import now_us
 from sagetrack.core.gateway import Gateway
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.transient_errors import require_sockets
 from sagetrack.grpc.downstream_connection import GrpcDownstreamConnection
 from sagetrack.grpc.request_intake import RequestBuilder, RequestIntake
@@ -27,7 +27,7 @@
         gateway: Handles the requests.
         request_builder: Creates a request of the gateway from its parts.
         is_standby: Returns whether the process is on standby, so that connections drain.
-        body_budget: Memory limit for streamed bodies.
+        memory_budget: Memory budget of the process.
     """
 
     def __init__(
@@ -35,9 +35,9 @@
         gateway: Gateway,
         request_builder: RequestBuilder,
         is_standby: Callable[[], bool],
-        body_budget: BodyMemoryBudget,
+        memory_budget: MemoryBudget,
     ) -> None:
-        self.intake = RequestIntake(gateway, request_builder, body_budget)
+        self.intake = RequestIntake(gateway, request_builder, memory_budget)
         self.is_standby = is_standby
         self.connections: set[GrpcDownstreamConnection] = set()
         self.servers: list[asyncio.Server] = []
--- a/sagetrack/grpc/request_intake.py
+++ b/sagetrack/grpc/request_intake.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 
-from sagetrack.core.bodies import STREAMED_BODY_LIMIT, BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import STREAMED_BODY_LIMIT, StreamedBody
 from sagetrack.core.gateway import Gateway
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.requests import Client, Request
 from sagetrack.core.responses import Header
 from sagetrack.grpc.downstream_stream import MAX_BUFFERED_BODY_BYTES, DownstreamCounts, DownstreamStream
@@ -24,15 +25,15 @@
     Args:
         gateway: Handles the requests.
         request_builder: Creates a request of the gateway from its parts.
-        body_budget: Memory limit for streamed bodies.
+        memory_budget: Memory budget of the process.
     """
 
     def __init__(
-        self, gateway: Gateway, request_builder: RequestBuilder, body_budget: BodyMemoryBudget
+        self, gateway: Gateway, request_builder: RequestBuilder, memory_budget: MemoryBudget
     ) -> None:
         self.gateway = gateway
         self.request_builder = request_builder
-        self.body_budget = body_budget
+        self.memory_budget = memory_budget
         self.max_buffered_body = MAX_BUFFERED_BODY_BYTES
         self.counts = DownstreamCounts()
 
@@ -118,6 +119,6 @@
             raise TranslationError(f"a body of {length} bytes, over {STREAMED_BODY_LIMIT}")
         method, target, headers = split_head(head)
         if streamed:
-            stream.start_streaming_body(length, self.body_budget).feed(body)
+            stream.start_streaming_body(length, self.memory_budget).feed(body)
             body = b""
         return self.request_builder(method, target, headers, body, budget_us, stream, stream.streamed_body)
--- a/sagetrack/http1/attempt_runner.py
+++ b/sagetrack/http1/attempt_runner.py
@@ -7,6 +7,7 @@
 
 from sagetrack.core.bodies import BODY_STALL_TIMEOUT_S
 from sagetrack.core.clock import now_us
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.responses import Response
 from sagetrack.http1.attempt import Attempt
 from sagetrack.http1.codec import READ_SIZE
@@ -27,10 +28,12 @@
         idle: IdleConnections,
         counts: PoolCounts,
         reclaim_descriptor: Callable[[], None],
+        memory_budget: MemoryBudget,
     ) -> None:
         self.settings = settings
         self.idle = idle
         self.counts = counts
+        self.memory_budget = memory_budget
         self.loop = asyncio.get_running_loop()
         self.reclaim_descriptor = reclaim_descriptor  # frees a descriptor before a connection is opened
         self.connections: set[UpstreamConnection] = set()  # open or connecting, to all servers
@@ -149,6 +152,8 @@
         """End an attempt with this outcome, unless it has already ended."""
         if attempt.ended:
             return
+        if attempt.is_streaming:
+            self.memory_budget.active_bodies -= 1
         attempt.finish()
         self.transferring.discard(attempt)
         if outcome is Outcome.CONNECT_FAILED:
@@ -220,6 +225,7 @@
     def on_stream_started(self, attempt: Attempt) -> None:
         """Handle the start of a streamed response, which from now on is limited by the stall timeout only."""
         attempt.start_streaming()
+        self.memory_budget.active_bodies += 1
         self.transferring.add(attempt)
 
     def on_protocol_error(self, connection: UpstreamConnection) -> None:
--- a/sagetrack/http1/codec.py
+++ b/sagetrack/http1/codec.py
@@ -137,6 +137,11 @@
         """True if the response is too long to be buffered and a part of its body has been received."""
         return self.in_body and self._size > 0 and max(self._size, self._length or 0) > self._limit
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the body that were received and not taken yet."""
+        return sum(len(chunk) for chunk in self._body)
+
     @property
     def has_unknown_length(self) -> bool:
         """True if the response is chunked, so that it may be too long to be buffered."""
--- a/sagetrack/http1/connection_pool.py
+++ b/sagetrack/http1/connection_pool.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Callable, Collection
 
+from sagetrack.config.platform import DEFAULT_MEMORY_MB
 from sagetrack.core.endpoints import Endpoint
 from sagetrack.core.interfaces import AttemptObserver
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.requests import Request
 from sagetrack.core.responses import Response
 from sagetrack.http1.attempt import Attempt
@@ -26,13 +28,28 @@
 class ConnectionPools:
     """One connection pool per upstream server; sends the requests of the gateway."""
 
-    def __init__(self, settings: Settings, reclaim_descriptor: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        reclaim_descriptor: Callable[[], None] = lambda: None,
+        memory_budget: MemoryBudget | None = None,
+    ) -> None:
+        """Create pools without servers.
+
+        Args:
+            settings: The settings of the load balancer.
+            reclaim_descriptor: Frees a descriptor, if necessary, before a connection is opened.
+            memory_budget: The memory budget of the process; by default one for the default memory limit.
+        """
         self.settings = settings
+        self.memory_budget = memory_budget or MemoryBudget(DEFAULT_MEMORY_MB)
         self.loop = asyncio.get_running_loop()
         self.servers: dict[int, PooledServer] = {}
         self.counts = PoolCounts()
         self.idle = IdleConnections(settings, self.counts)
-        self.attempts = AttemptRunner(settings, self.idle, self.counts, reclaim_descriptor)
+        self.attempts = AttemptRunner(
+            settings, self.idle, self.counts, reclaim_descriptor, self.memory_budget
+        )
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
 
     # Servers
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -6,17 +6,18 @@
 import select
 from typing import cast
 
-from sagetrack.core.bodies import BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.drain import Drain
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.peer_close import PeerCloseWatcher, has_peer_closed
 from sagetrack.core.send_rules import ClientConnectionState, CloseReason, DenialReason, may_close
 from sagetrack.http1.client_closes import ABORTED, CLIENT_DISCONNECTED, RESPONDED, ClientCloses
 from sagetrack.http1.codec import READ_SIZE
 from sagetrack.http1.connection_phases import ConnectionPhases, PhaseTracker
-from sagetrack.http1.exchange import Exchange, ExchangeContext
+from sagetrack.http1.exchange import WRITE_BUFFER_BYTES, Exchange, ExchangeContext
 from sagetrack.http1.read_ahead import ReadAhead
 from sagetrack.http1.read_pause import ReadPause
-from sagetrack.http1.request_memory import RequestMemoryBudget
+from sagetrack.http1.request_memory import CLIENT_CONNECTION_BYTES
 from sagetrack.http1.request_reader import RequestReader
 from sagetrack.http1.requests import HttpRequest, RequestError
 from sagetrack.http1.write_progress import WriteProgress
@@ -37,29 +38,23 @@
         phases: The connections that wait for their client, by phase.
         paused: The connections on which reading is paused.
         close_watcher: Detects that a client has closed a connection on which reading is paused.
-        body_budget: The memory budget of all streamed bodies.
-        memory_budget: The memory budget of all other request data.
+        memory_budget: The memory budget of the process.
         buffer: The read buffer of all connections; its content is copied right after each read.
         closes: Counts the connections that this process closes, by reason.
     """
 
-    def __init__(self, exchange_context: ExchangeContext, drain: Drain) -> None:
+    def __init__(self, exchange_context: ExchangeContext, drain: Drain, memory_budget: MemoryBudget) -> None:
         self.exchange_context = exchange_context
         self.drain = drain
         self.connections: set[ClientConnection] = set()
         self.phases = ConnectionPhases()
         self.paused: set[ClientConnection] = set()
         self.close_watcher = PeerCloseWatcher()
-        self.body_budget = BodyMemoryBudget(exchange_context.config.memory_mb)
-        self.memory_budget = RequestMemoryBudget(exchange_context.config.memory_mb)
+        self.memory_budget = memory_budget
+        self.memory_budget.sources.append(lambda: len(self.connections) * CLIENT_CONNECTION_BYTES)
         self.buffer = memoryview(bytearray(READ_SIZE))
         self.closes = ClientCloses(exchange_context.gateway)
 
-    def set_process_count(self, processes: int) -> None:
-        """Divide the memory budgets by the number of processes of this gateway."""
-        self.body_budget.process_count = processes
-        self.memory_budget.process_count = processes
-
     def watch_paused(self, connection: ClientConnection) -> None:
         """Detect a close by the client on a connection on which reading is paused."""
         self.paused.add(connection)
@@ -81,6 +76,7 @@
         "discarded_body",
         "exchange",
         "is_closing",
+        "moved_s",
         "opened_s",
         "phase",
         "poll",
@@ -95,13 +91,14 @@
     def __init__(self, context: ClientContext) -> None:
         self.context = context
         self.transport: asyncio.Transport | None = None
-        self.reader = RequestReader(context.body_budget, context.memory_budget)
+        self.reader = RequestReader(context.memory_budget)
         self.exchange = Exchange(self, context.exchange_context)
         self.read_ahead = ReadAhead(context.memory_budget, self.reader, self.exchange)
         self.discarded_body: StreamedBody | None = None  # read to its end after the response has been sent
         self.phase = PhaseTracker(self, context.phases)
         self.read_pause = ReadPause(self.phase)
         self.opened_s = 0.0  # time at which the connection was accepted, in event loop time
+        self.moved_s = 0.0  # time at which the client last sent or took data, in event loop time
         self.is_closing = False  # the connection is being closed and no more requests are parsed
         self.write_blocked = False  # the write buffer is full because the client reads too slowly
         self.descriptor = -1
@@ -112,11 +109,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; called by the event loop."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class is not a subclass of it
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.exchange.transport = self.transport
         self.descriptor = transport.get_extra_info("socket").fileno()
         self.write_progress = WriteProgress(self.transport, self.descriptor)
         self.poll.register(self.descriptor, select.POLLIN | select.POLLRDHUP)
-        self.opened_s = asyncio.get_running_loop().time()
+        self.opened_s = self.moved_s = asyncio.get_running_loop().time()
         self.context.connections.add(self)
         self.phase.enter(self.context.phases.awaiting_first_byte, self.opened_s)
 
@@ -185,14 +183,7 @@
 
     def may_close(self, reason: CloseReason) -> DenialReason | None:
         """Return why the connection may not be closed now without a response; None if it may."""
-        state = ClientConnectionState(
-            response_pending=self.is_closing or self.exchange.is_busy or bool(self.reader.requests),
-            request_incomplete=self.reader.has_partial_request,
-            has_sent_data=self.exchange.has_responded or self.reader.has_partial_request,
-            age_s=asyncio.get_running_loop().time() - self.phase.since_s(self.opened_s),
-            has_unread_data=lambda: bool(self.poll.poll(0)),
-        )
-        return may_close(state, reason)
+        return may_close(_state_of(self), reason)
 
     def _await_delivery(self) -> None:
         """Enter the phase in which the client has to take data that was written."""
@@ -241,13 +232,14 @@
     # Reading
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the shared buffer, regardless of the size hint; called by the event loop."""
-        return self.context.buffer
+        """Return a part of the shared buffer as long as may be read; called by the event loop."""
+        return self.context.buffer[: self.reader.read_bytes]
 
     def buffer_updated(self, size: int) -> None:
         """Parse the data read into the buffer, and handle the next request; called by the event loop."""
         if self.is_closing:
             return  # after a malformed request, the start of the next one is unknown
+        self.moved_s = asyncio.get_running_loop().time()
         self.parse(bytes(self.context.buffer[:size]))
         self.handle_next()
         self.update_phase()
@@ -363,10 +355,25 @@
         self.write_blocked = True
         self.exchange.pause()
         self.update_phase()
+        self.read_ahead.update_memory()
 
     def resume_writing(self) -> None:
         """Resume the response because the write buffer has room again; called by the event loop."""
         self.write_blocked = False
+        self.moved_s = asyncio.get_running_loop().time()
         self.exchange.resume()
         self.update_phase()
+        self.read_ahead.update_memory()
         self.handle_next_soon()
+
+
+def _state_of(connection: ClientConnection) -> ClientConnectionState:
+    """Return the properties of a connection that determine whether it may be closed now."""
+    reader = connection.reader
+    return ClientConnectionState(
+        response_pending=connection.is_closing or connection.exchange.is_busy or bool(reader.requests),
+        request_incomplete=reader.has_partial_request,
+        has_sent_data=connection.exchange.has_responded or reader.has_partial_request,
+        age_s=asyncio.get_running_loop().time() - connection.phase.since_s(connection.opened_s),
+        has_unread_data=lambda: bool(connection.poll.poll(0)),
+    )
--- a/sagetrack/http1/exchange.py
+++ b/sagetrack/http1/exchange.py
@@ -17,6 +17,7 @@
 from sagetrack.http1.codec import end_to_end_headers
 from sagetrack.http1.requests import HttpRequest, RequestError, read_request
 
+WRITE_BUFFER_BYTES = 16 * 1024  # data that the kernel has not accepted, above which writing pauses
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0: a close resets the connection
 READY_PATH = b"/health/ready"
 REMOVED_RESPONSE_HEADERS = frozenset({b"x-load-report", b"x-rejected"})
@@ -226,6 +227,7 @@
         if self.request is not request or message is None or transport is None:
             return
         self.source = source
+        transport.set_write_buffer_limits(high=0)  # the server is paused while the client takes nothing
         self.chunked = head.length is None and message.version == "1.1"
         self.ends_at_close = head.length is None and not self.chunked
         self.ends_connection = self.owner.is_last(message) or self.ends_at_close
@@ -253,6 +255,7 @@
         if self.chunked:
             self.transport.write(b"0\r\n\r\n")
         self.source = None
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._finish(message, self.ends_connection)
 
     def on_response_aborted(self, request: Request) -> None:
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 
 from sagetrack.config.platform import Config
-from sagetrack.core.bodies import BodyMemoryBudget
 from sagetrack.core.drain import SHUTDOWN_ACCEPT_S, Drain
 from sagetrack.core.endpoints import EndpointSource
 from sagetrack.core.event_trace import TraceEventKind
 from sagetrack.core.gateway import Gateway
+from sagetrack.core.memory_budget import MemoryBudget, OverloadAction
 from sagetrack.core.processes import NoSiblings, SiblingProcesses
 from sagetrack.core.send_rules import CloseReason, may_accept_clients
 from sagetrack.http1.acceptor import BACKLOG, Acceptor
@@ -20,6 +20,8 @@
 from sagetrack.http1.descriptors import DescriptorBudget
 from sagetrack.http1.downstream import ClientConnection, ClientContext
 from sagetrack.http1.exchange import ExchangeContext
+from sagetrack.http1.overload import OverloadManager
+from sagetrack.http1.request_memory import UPSTREAM_CONNECTION_BYTES
 from sagetrack.http1.requests import RequestError
 
 DRAIN_POLL_S = 0.02  # interval of checks for connections to close during a drain
@@ -36,12 +38,17 @@
         self.drain = Drain(max_timeout_us / 1e6)
         self.siblings: SiblingProcesses = NoSiblings()
         self.exchange_context = ExchangeContext(config, gateway, lambda: self.is_ready)
-        self.context = ClientContext(self.exchange_context, self.drain)
+        self.context = ClientContext(self.exchange_context, self.drain, pools.memory_budget)
         self.descriptors = DescriptorBudget(
             config, pools, self.context.phases, self.count_clients, lambda: 1 + self.siblings.sibling_count
         )
+        self.overload = OverloadManager(self.context)
+        self.memory_budget.sources += [
+            lambda: gateway.in_flight.memory_bytes,
+            lambda: pools.open_connections * UPSTREAM_CONNECTION_BYTES,
+        ]
         self.acceptor = Acceptor(
-            self.descriptors.reclaim_for_client,
+            lambda: self.overload.reclaim_for_client() and self.descriptors.reclaim_for_client(),
             lambda: self.context.phases.reclaim(CloseReason.RECLAIM_DESCRIPTOR),
             lambda: ClientConnection(self.context),
         )
@@ -86,9 +93,9 @@
         return self.context.connections
 
     @property
-    def body_budget(self) -> BodyMemoryBudget:
-        """The memory budget of all streamed bodies."""
-        return self.context.body_budget
+    def memory_budget(self) -> MemoryBudget:
+        """The memory budget of the process."""
+        return self.context.memory_budget
 
     def count_clients(self) -> int:
         """Return the number of client connections that are open or being set up."""
@@ -103,13 +110,15 @@
             self._apply_process_count()
         self.descriptors.shrink_to_limit()
         self.sweep_timer = loop.call_later(SWEEP_S, self.sweep)
-        self.context.phases.close_expired(loop.time(), self.descriptors.has_many_clients)
+        action = self.overload.sweep()
+        closes_idle = self.descriptors.has_many_clients or action >= OverloadAction.CLOSE_IDLE
+        self.context.phases.close_expired(loop.time(), closes_idle)
 
     def _apply_process_count(self) -> None:
         """Pass the number of processes of this gateway on to all that share a limit with them."""
         processes = 1 + self.siblings.sibling_count
         self.gateway.set_process_count(processes)
-        self.context.set_process_count(processes)
+        self.memory_budget.process_count = processes
 
     # Admin commands
 
--- a/sagetrack/http1/request_reader.py
+++ b/sagetrack/http1/request_reader.py
@@ -6,21 +6,24 @@
 
 import httptools
 
-from sagetrack.core.bodies import STREAMED_BODY_LIMIT, BodyMemoryBudget, StreamedBody, append_chunk
+from sagetrack.core.bodies import STREAMED_BODY_LIMIT, StreamedBody, append_chunk
 from sagetrack.core.clock import now_us
+from sagetrack.core.memory_budget import MIN_STREAM_BUFFER, MemoryBudget
 from sagetrack.http1.codec import (
     BODY_LIMIT,
     HEAD_LIMIT,
     MAX_HEADERS,
+    READ_SIZE,
     VERSIONS,
     find_header,
     strip_whitespace,
 )
-from sagetrack.http1.request_memory import HEADER_OVERHEAD, RequestMemoryBudget, head_memory
+from sagetrack.http1.request_memory import head_memory
 from sagetrack.http1.requests import HttpRequest, RequestError
 
 PARSE_SLICE = 4096  # bytes parsed between checks of the number of waiting requests
 BODY_SLICE = 32 * 1024  # bytes parsed at a time within a streamed body of known length
+REJECTION = "too many requests are in progress: ask again"
 
 
 class RequestReader:
@@ -30,11 +33,10 @@
     """
 
     __slots__ = (
-        "_body_budget",
         "_body_size",
+        "_budget",
         "_claimed_bytes",
         "_fed_us",
-        "_memory_budget",
         "_parser",
         "_unreported",
         "current_request",
@@ -45,10 +47,9 @@
         "unparsed",
     )
 
-    def __init__(self, body_budget: BodyMemoryBudget, memory_budget: RequestMemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget) -> None:
         self._parser = httptools.HttpRequestParser(self)
-        self._body_budget = body_budget
-        self._memory_budget = memory_budget
+        self._budget = budget
         self.current_request: HttpRequest | None = None
         self._body_size = 0
         self._claimed_bytes = 0  # memory counted for the body of the current request
@@ -81,9 +82,17 @@
         held = len(self.unparsed) + self._unreported
         if self.current_request is not None:
             current = self.current_request
-            held += current.memory_bytes or len(current.headers) * HEADER_OVERHEAD
+            held += current.memory_bytes or current.header_block.memory_bytes
         return held + sum(request.memory_bytes for request in self.requests)
 
+    @property
+    def read_bytes(self) -> int:
+        """Number of bytes to read from the connection at once."""
+        streamed_body = self.streamed_body
+        if streamed_body is not None:
+            return min(READ_SIZE, streamed_body.capacity_bytes)
+        return READ_SIZE if self._budget.allows_read_ahead else MIN_STREAM_BUFFER
+
     def feed(self, data: bytes, limit: int) -> None:
         """Parse data until `limit` requests are waiting.
 
@@ -132,7 +141,11 @@
             return cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
         # The parser reports a header only when it is complete, and does not report chunk extensions and blank
         # lines at all. Without this limit, each of them could be of any length.
-        return RequestError(431, "the head is too long") if self._unreported > HEAD_LIMIT else None
+        if self._unreported > HEAD_LIMIT:
+            return RequestError(431, "the head is too long")
+        if self._unreported > PARSE_SLICE and self._budget.rejects(self._unreported):
+            return self._reject()
+        return None
 
     def _feed_parser(self, data: memoryview) -> None:
         """Feed data to the parser, ignoring offers to upgrade the connection (RFC 9110, section 7.8).
@@ -170,15 +183,17 @@
         assert self.current_request is not None
         if self.in_body:
             return  # trailers may be dropped, and must not replace headers that have been checked
-        if len(self.current_request.headers) >= MAX_HEADERS:
+        header_block = self.current_request.header_block
+        if len(header_block) >= MAX_HEADERS:
             raise RequestError(431, "too many headers")
-        self.current_request.headers.append((name, strip_whitespace(value)))
+        header_block.add(name, strip_whitespace(value))
 
     def on_headers_complete(self) -> None:
         """Check the complete head; called by the parser."""
         request = self.current_request
         assert request is not None
         self._unreported = 0
+        request.complete_head()
         request.method = self._parser.get_method()
         request.version = self._parser.get_http_version()
         if request.method == b"CONNECT":
@@ -228,17 +243,23 @@
             self._stream_body(request, None)
 
     def _claim_memory(self, request: HttpRequest, length: int) -> None:
-        """Count a body that will be buffered as if it were complete; reject it if the budget is exhausted."""
-        if length and self._memory_budget.is_exhausted:
-            self._memory_budget.rejected += 1
-            raise RequestError(503, "too many requests are in progress: ask again")
+        """Count a body that will be buffered as if it were complete; reject it if memory is short."""
+        if self._budget.rejects(length):
+            raise self._reject()
         self._claimed_bytes = length
         request.memory_bytes += length
 
+    def _reject(self) -> RequestError:
+        """Count a request that is rejected for lack of memory, and return the error to respond with."""
+        self._budget.rejected += 1
+        return RequestError(503, REJECTION)
+
     def _stream_body(self, request: HttpRequest, length: int | None) -> None:
         """Start to stream the body, and queue the request before it is complete."""
+        if self._budget.rejects(length or BODY_LIMIT):
+            raise self._reject()
         request.keep_alive = self._parser.should_keep_alive()
-        request.streamed_body = StreamedBody(length, self._body_budget)
+        request.streamed_body = StreamedBody(length, self._budget)
         for piece in request.body:
             request.streamed_body.feed(bytes(piece))
         request.body.clear()
--- a/sagetrack/http1/requests.py
+++ b/sagetrack/http1/requests.py
@@ -12,6 +12,7 @@
 from sagetrack.core.requests import Client, Request
 from sagetrack.core.responses import Header
 from sagetrack.http1.codec import ProtocolError, end_to_end_headers
+from sagetrack.http1.header_block import HeaderBlock
 from sagetrack.policy.settings import Effect, RequestClass
 
 MAX_ID_BYTES = 128  # limit of X-Call-Id
@@ -37,6 +38,7 @@
     __slots__ = (
         "body",
         "error",
+        "header_block",
         "headers",
         "keep_alive",
         "memory_bytes",
@@ -50,7 +52,8 @@
     def __init__(self, error: RequestError | None = None) -> None:
         self.method = b""
         self.target = b""
-        self.headers: list[Header] = []
+        self.header_block = HeaderBlock()  # the headers while the head is being received
+        self.headers: list[Header] = []  # the headers of a complete head
         self.body: list[bytes | bytearray] = []
         self.keep_alive = False
         self.error = error
@@ -59,6 +62,17 @@
         self.received_us = 0  # time at which the last byte of the request was received
         self.memory_bytes = 0  # estimated memory of the head and of a buffered body
 
+    def complete_head(self) -> None:
+        """Make the headers available, as the head is complete."""
+        self.headers = self.header_block.unpack()
+        self.header_block = HeaderBlock()
+
+    def release_content(self) -> None:
+        """Drop the headers and the buffered body, which the request to forward contains as well."""
+        self.headers = []
+        self.body = []
+        self.memory_bytes = 0
+
 
 @dataclass(slots=True, frozen=True)
 class ForwardedRequest:
@@ -87,7 +101,6 @@
     id_ = _check_class_rules(message, settings, headers)
     budget_ms = _parse_integer(headers.get(b"x-budget-ms"), "X-Budget-Ms")
     body = b"".join(message.body)
-    message.body.clear()  # so that the body is not held twice while the request is in progress
     client_name = headers.get(config.client_header)
     # A budget longer than the request timeout of the class is reduced to that timeout.
     client_timeout_us = (
@@ -95,6 +108,8 @@
         if budget_ms is None
         else min(budget_ms * 1000, settings.request_timeout_us)
     )
+    forwarded = ForwardedRequest(_forwarded_head(message, body), body)
+    message.release_content()
     return Request(
         id=id_.decode("latin-1"),
         class_index=class_index,
@@ -103,10 +118,11 @@
         work_us=_parse_integer(headers.get(b"x-call-cost"), "X-Call-Cost"),
         is_retry=headers.get(b"x-again") == b"1",
         tenant=names.tenants.get(headers.get(b"x-caller", b""), -1 if names.tenants else 0),
-        message=ForwardedRequest(_forwarded_head(message, body), body),
+        message=forwarded,
         client=client,
         streamed_body=message.streamed_body,
         received_us=message.received_us,
+        memory_bytes=len(forwarded.head) + len(body),
         client_id=stable_hash(client_name, 8) if client_name else 0,
     )
 
--- a/sagetrack/http1/upstream_connection.py
+++ b/sagetrack/http1/upstream_connection.py
@@ -6,6 +6,7 @@
 import select
 from typing import Protocol, TypeAlias, cast
 
+from sagetrack.core.memory_budget import MIN_STREAM_BUFFER, MemoryBudget, MemoryClaim, OverloadAction
 from sagetrack.core.responses import Response
 from sagetrack.http1.attempt import Attempt
 from sagetrack.http1.codec import ResponseError, ResponseReader
@@ -19,6 +20,7 @@
 
     loop: asyncio.AbstractEventLoop
     buffer: memoryview  # read buffer of all connections; its content is copied after each read
+    memory_budget: MemoryBudget
 
     def on_connected(self, connection: UpstreamConnection) -> None:
         """Handle an established connection."""
@@ -57,6 +59,7 @@
     __slots__ = (
         "attempt",
         "body_written",
+        "claim",
         "has_sent",
         "idle_since_us",
         "incarnation",
@@ -81,6 +84,7 @@
         self.waiting_attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.responses = ResponseReader(streams=True)
+        self.claim = MemoryClaim(owner.memory_budget)  # of a response that is buffered until it is complete
         self.stream_timer: asyncio.TimerHandle | None = None  # starts to stream a response of unknown length
         self.is_paused = False
         self.body_written = True  # True if the whole request has been passed to the transport
@@ -211,7 +215,10 @@
     # Responses
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the owner's buffer, regardless of the size hint; called by the event loop."""
+        """Return a part of the owner's buffer as long as may be read; called by the event loop."""
+        attempt = self.attempt
+        if attempt is not None and attempt.is_streaming:
+            return self.owner.buffer[: self.owner.memory_budget.stream_buffer_bytes]
         return self.owner.buffer
 
     def buffer_updated(self, size: int) -> None:
@@ -225,6 +232,7 @@
         except ResponseError:
             self.owner.on_protocol_error(self)
             return
+        self.claim.update(self.responses.buffered_bytes)
         attempt = self.attempt
         if response is not None:
             self.cancel_stream_timer()
@@ -234,11 +242,17 @@
         elif attempt.is_streaming:
             attempt.record_progress()
             attempt.on_response_data(self.responses.take_body())
-        elif self.responses.needs_streaming:
+        elif self.responses.needs_streaming or self.must_stream:
             self.start_stream()
         elif self.responses.has_unknown_length and self.stream_timer is None:
             self.stream_timer = self.owner.loop.call_later(STREAM_AFTER_S, self.start_stream)
 
+    @property
+    def must_stream(self) -> bool:
+        """True if the response in progress is not buffered until it is complete, as memory is short."""
+        shrinks = self.owner.memory_budget.action >= OverloadAction.SHRINK_BUFFERS
+        return shrinks and self.responses.in_body and self.responses.buffered_bytes > MIN_STREAM_BUFFER
+
     def eof_received(self) -> None:
         """Forward a response that ends with the connection; called by the event loop."""
         response = self.responses.finish()
@@ -263,6 +277,7 @@
         self.owner.on_stream_started(attempt)
         attempt.on_response_started(attempt, self.responses.head(), self)
         body = self.responses.take_body()
+        self.claim.update(0)
         if self.attempt is attempt and body:
             attempt.on_response_data(body)
 
@@ -282,6 +297,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection; called by the event loop."""
+        self.claim.update(0)
         self.owner.on_lost(self)
 
 
--- a/sagetrack/server/gateway_assembly.py
+++ b/sagetrack/server/gateway_assembly.py
@@ -13,6 +13,7 @@
 from sagetrack.core.endpoints import Endpoint
 from sagetrack.core.gateway import Gateway
 from sagetrack.core.interfaces import UpstreamPool
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.transient_errors import retry_while_transient
 from sagetrack.discovery.client import DiscoveryClient
 from sagetrack.discovery.endpoint_parsing import index_of_name, parse_endpoint_list
@@ -75,7 +76,7 @@
         self.config = config
         self.operator = operator
         self.persistence: Persistence | None = None
-        self.pools = ConnectionPools(config.settings)
+        self.pools = ConnectionPools(config.settings, memory_budget=MemoryBudget(config.memory_mb))
         self.tls_keys = load_tls_keys(operator)
         router = build_protocol_router(config, operator, self.pools, self.tls_keys)
         self.gateway = self._build_gateway(self.pools if router is None else router)
--- a/sagetrack/server/lifecycle.py
+++ b/sagetrack/server/lifecycle.py
@@ -77,6 +77,7 @@
             reloader.request()
         gc.collect()
         gc.freeze()  # objects created by the start live until the process ends
+        assembly.http_listener.memory_budget.measure_rest()
         await stop_requested.wait()
         await assembly.drain()
         log(f"shutdown complete; upstream connections: {assembly.pools.counts}")
--- a/sagetrack/server/protocol_listeners.py
+++ b/sagetrack/server/protocol_listeners.py
@@ -77,7 +77,7 @@
 
         drain = http.drain
         listener = GrpcListener(
-            self.gateway, create_request_builder(self.config), lambda: drain.is_draining, http.body_budget
+            self.gateway, create_request_builder(self.config), lambda: drain.is_draining, http.memory_budget
         )
         tls_context = tls_keys.create_server_context() if tls_keys is not None else None
         addresses = [parse_address(address, "newer.listen") for address in settings.listen]
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -188,6 +188,13 @@
         # Series whose value is 0 are included.
         assert {name.partition("{")[0] for name in by_reason} == METRICS_BY_REASON
         assert 0 < metrics.pop("svc_request_memory_bytes") < READ_SIZE  # the pending request
+        memory = {name: metrics.pop(name) for name in list(metrics) if name.startswith("svc_memory_")}
+        assert memory.pop("svc_memory_budget_bytes") > READ_SIZE
+        assert not any(
+            count
+            for name, count in memory.items()
+            if name.startswith(("svc_memory_action", "svc_memory_rest"))
+        )
         assert metrics == {
             'svc_answered_total{group="search"}': 3,
             'svc_answered_total{group="hold"}': 0,
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from sagetrack.core.bodies import MAX_BUFFER_PER_BODY, MIN_BUFFER_PER_BODY, BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
+from sagetrack.core.memory_budget import MAX_STREAM_BUFFER, MIN_STREAM_BUFFER, STREAM_SHARE, MemoryBudget
 from sagetrack.http1 import connection_phases as phases_module
 from sagetrack.http1 import downstream as downstream_module
 from sagetrack.http1 import request_reader as reader_module
@@ -283,7 +284,7 @@
             and b"Transfer-Encoding: chunked" in upstream.heads[1]
         )
         assert run.gateway.metrics.sends.by_class[2] == 3 and not run.assembly.pools.attempts.transferring
-        assert run.listener.body_budget.active_bodies == 0
+        assert run.listener.memory_budget.active_bodies == 0
         client.close()
 
 
@@ -334,7 +335,7 @@
         assert (
             not upstream.complete
             and not run.gateway.in_flight
-            and run.listener.body_budget.active_bodies == 0
+            and run.listener.memory_budget.active_bodies == 0
         )
         client.close()
 
@@ -390,7 +391,7 @@
         client.close()
         await wait_until(lambda: upstream.truncated == 1)
         await wait_until(lambda: not run.gateway.in_flight)
-        assert not run.gateway.balancer.requests and run.listener.body_budget.active_bodies == 0
+        assert not run.gateway.balancer.requests and run.listener.memory_budget.active_bodies == 0
 
 
 @on_event_loop
@@ -410,7 +411,7 @@
         streamed_body = connection.reader.streamed_body
         assert (
             streamed_body is not None
-            and streamed_body.buffered <= MAX_BUFFER_PER_BODY + 2 * reader_module.BODY_SLICE
+            and streamed_body.buffered <= MAX_STREAM_BUFFER + 2 * reader_module.BODY_SLICE
         )
         assert len(connection.reader.unparsed) <= READ_SIZE
         opened.set()
@@ -441,6 +442,9 @@
         client.close()
 
 
+BUFFERED_LENGTH = 60_000  # a longer response is read from its server only as fast as its client takes it
+
+
 @asynccontextmanager
 async def last_response_to_slow_client(length: int) -> AsyncIterator[tuple[RunningGateway, socket.socket]]:
     """Yield a gateway that closes its connection to a client which has not read the response yet.
@@ -481,9 +485,9 @@
 # Guards against cutting off the end of a response that its client is still reading (review/3).
 @on_event_loop
 async def test_a_client_that_rests_for_seconds_gets_the_end_of_its_last_response() -> None:
-    async with last_response_to_slow_client(100_000) as (_, client):
+    async with last_response_to_slow_client(BUFFERED_LENGTH) as (_, client):
         await asyncio.sleep(3.0)
-        assert len(await read_to_end(client, 0.0)) == 100_000
+        assert len(await read_to_end(client, 0.0)) == BUFFERED_LENGTH
 
 
 @on_event_loop
@@ -491,8 +495,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(phases_module, "WRITE_STALL_TIMEOUT_S", 0.5)
-    async with last_response_to_slow_client(100_000) as (_, client):
-        assert len(await read_to_end(client, 0.15)) == 100_000
+    async with last_response_to_slow_client(BUFFERED_LENGTH) as (_, client):
+        assert len(await read_to_end(client, 0.15)) == BUFFERED_LENGTH
 
 
 @on_event_loop
@@ -500,7 +504,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(phases_module, "WRITE_STALL_TIMEOUT_S", 0.5)
-    async with last_response_to_slow_client(100_000) as (run, _):
+    async with last_response_to_slow_client(BUFFERED_LENGTH) as (run, _):
         await wait_until(lambda: not run.listener.connections)
 
 
@@ -540,17 +544,17 @@
 
 
 def test_streamed_bodies_share_one_memory_budget() -> None:
-    body_budget = BodyMemoryBudget(memory_mb=8)
-    streamed_bodies = [StreamedBody(None, body_budget) for _ in range(4)]
-    assert body_budget.bytes_per_body == MAX_BUFFER_PER_BODY
-    streamed_bodies += [StreamedBody(None, body_budget) for _ in range(60)]
-    assert body_budget.bytes_per_body == 16 * 1024
-    streamed_bodies += [StreamedBody(None, body_budget) for _ in range(1000)]
-    assert body_budget.bytes_per_body == MIN_BUFFER_PER_BODY
+    budget = MemoryBudget(memory_mb=8)
+    streamed_bodies = [StreamedBody(None, budget) for _ in range(4)]
+    assert budget.stream_buffer_bytes == MAX_STREAM_BUFFER
+    streamed_bodies += [StreamedBody(None, budget) for _ in range(252)]
+    assert budget.stream_buffer_bytes == int(budget.total_bytes * STREAM_SHARE) // 256 < 16 * 1024
+    streamed_bodies += [StreamedBody(None, budget) for _ in range(1000)]
+    assert budget.stream_buffer_bytes == MIN_STREAM_BUFFER
     for streamed_body in streamed_bodies:
         streamed_body.complete()
         streamed_body.abort()  # no effect after completion: the body is uncounted only once
-    assert body_budget.active_bodies == 0
+    assert budget.active_bodies == 0
 
 
 # The load balancer
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -7,14 +7,13 @@
 
 import pytest
 
-from sagetrack.core.bodies import MAX_BUFFER_PER_BODY
 from sagetrack.core.deadlines import REUSE_DELAY_S
+from sagetrack.core.memory_budget import MAX_STREAM_BUFFER, STREAM_SHARE, MemoryClaim
 from sagetrack.core.processes import NoSiblings
 from sagetrack.core.send_rules import CloseReason
 from sagetrack.http1 import connection_phases as phases_module
 from sagetrack.http1 import downstream as downstream_module
 from sagetrack.http1.codec import READ_SIZE
-from sagetrack.http1.request_memory import MemoryClaim
 from tests.sockets import (
     configuration,
     http_response,
@@ -275,6 +274,7 @@
         config = configuration(upstream) | {"limits": {"memory_mb": 32, "sockets": 1024}}
         async with running_gateway(config) as run:
             budget = run.listener.context.memory_budget
+            budget.rest_bytes = budget.total_bytes - 8 * 1024 * 1024
             clients = [await run.connect() for _ in range(30)]
             for client in clients:
                 client.send(b"".join(request("hold", body) for _ in range(each)))
@@ -291,7 +291,7 @@
                     assert (await client.read_response()).status in (200, 503)
                 client.close()
             await wait_until(lambda: not run.listener.connections)
-            assert budget.used_bytes == 0
+            assert budget.claimed_bytes == 0
 
 
 @on_event_loop
@@ -318,11 +318,13 @@
 @on_event_loop
 async def test_processes_of_one_gateway_share_its_memory_budgets() -> None:
     async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
-        context = run.listener.context
-        alone = context.memory_budget.available_bytes
-        context.body_budget.active_bodies = context.body_budget.total_bytes // MAX_BUFFER_PER_BODY
-        assert context.body_budget.bytes_per_body == MAX_BUFFER_PER_BODY
+        budget = run.listener.memory_budget
+        alone = budget.total_bytes
+        budget.active_bodies = int(alone * STREAM_SHARE) // MAX_STREAM_BUFFER
+        assert budget.stream_buffer_bytes == MAX_STREAM_BUFFER
         run.listener.siblings = TwoSiblings()
         run.listener.sweep()
-        assert context.memory_budget.available_bytes == alone // 3
-        assert context.body_budget.bytes_per_body < MAX_BUFFER_PER_BODY // 2
+        assert budget.total_bytes == alone // 3
+        assert budget.stream_buffer_bytes < MAX_STREAM_BUFFER // 2
+        budget.rest_bytes = alone // 4  # each process has its own memory at rest
+        assert budget.total_bytes == alone // 3 - alone // 4
--- a/tests/test_grpc_listener.py
+++ b/tests/test_grpc_listener.py
@@ -4,7 +4,8 @@
 
 from pathlib import Path
 
-from sagetrack.core.bodies import BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.requests import Request
 from sagetrack.http1.requests import ForwardedRequest
 from sagetrack.lab.stand_ins.grpc_server import GrpcRequest, GrpcServerConnection
@@ -56,7 +57,7 @@
 
         async def send(number: int, size: int, announced_length: int | None) -> RecordingObserver:
             streamed_body, observer = (
-                StreamedBody(announced_length, BodyMemoryBudget(64)),
+                StreamedBody(announced_length, MemoryBudget(64)),
                 RecordingObserver(),
             )
             message = ForwardedRequest(request_head(number), b"")
@@ -78,7 +79,7 @@
             assert (await send(number, 1_000_000, announced_length)).ends[0][0] is not Outcome.OK
         assert len(bodies) == 2
         await wait_until(
-            lambda: not gateway.gateway.in_flight and not listener.intake.body_budget.active_bodies
+            lambda: not gateway.gateway.in_flight and not listener.intake.memory_budget.active_bodies
         )
 
 
--- a/tests/test_grpc_upstream.py
+++ b/tests/test_grpc_upstream.py
@@ -7,8 +7,9 @@
 from dataclasses import replace
 from typing import Any
 
-from sagetrack.core.bodies import BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.endpoints import Endpoint
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.grpc.outcomes import Http2ErrorCode
 from sagetrack.lab.stand_ins.grpc_server import GrpcRequest, GrpcServerConnection
 from sagetrack.policy.events import ListedServer, Outcome, ServerStatus
@@ -109,7 +110,7 @@
     async with grpc_upstream_fixture(
         on_request=lambda server, request: server.respond(request, body=request.body, parts=30)
     ) as fixture:
-        streamed_body = StreamedBody(size, BodyMemoryBudget(64))
+        streamed_body = StreamedBody(size, MemoryBudget(64))
         observer = fixture.send(streamed_body=streamed_body)
         fed = max_buffered = 0
         while fed < size:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.http1 import idle_connections as idle_module
 from sagetrack.http1.idle_connections import (
     KEEPALIVE_FRACTION,
@@ -22,11 +23,17 @@
 KEEPALIVE_US = 20_000_000
 
 
+class Owner:
+    """Opens no connections."""
+
+    memory_budget = MemoryBudget(memory_mb=64)
+
+
 class Connection(UpstreamConnection):
     """A connection without a socket, whose usability is set by a field."""
 
     def __init__(self, upstream: PooledServer, idle_us: int, usable: bool = True) -> None:
-        super().__init__(None, upstream, None)  # type: ignore[arg-type]
+        super().__init__(Owner(), upstream, None)  # type: ignore[arg-type]
         self.idle_since_us, self.usable, self.closed = NOW_US - idle_us, usable, False
 
     def is_usable(self) -> bool:
--- a/tests/test_in_flight.py
+++ b/tests/test_in_flight.py
@@ -4,9 +4,10 @@
 
 from typing import Any
 
-from sagetrack.core.bodies import BodyMemoryBudget, StreamedBody
+from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.event_trace import EventTrace
 from sagetrack.core.in_flight import InFlightRequest, InFlightRequests
+from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.requests import Request
 from sagetrack.core.send_rules import AttemptRecord
 from sagetrack.policy.events import Event, RequestCancelled
@@ -60,7 +61,7 @@
 
 def test_the_time_left_runs_from_the_last_byte_of_a_streamed_body_on() -> None:
     assert in_flight().remaining_us(4_000) == 1_000
-    body = StreamedBody(None, BodyMemoryBudget(64))
+    body = StreamedBody(None, MemoryBudget(64))
     streamed = in_flight(body)
     assert streamed.remaining_us(4_000) == streamed.remaining_us(9_000) == 1_000
     body.complete()
@@ -68,7 +69,7 @@
 
 
 def test_a_request_awaits_a_response_once_it_is_complete_and_until_it_is_finished() -> None:
-    body = StreamedBody(None, BodyMemoryBudget(64))
+    body = StreamedBody(None, MemoryBudget(64))
     streamed, table = in_flight(body), RecordingTable()
     table.add(streamed)
     assert table.requests.awaiting_response_count() == 0
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from sagetrack.core.bodies import MIN_CHUNK, BodyMemoryBudget
+from sagetrack.core.bodies import MIN_CHUNK
+from sagetrack.core.memory_budget import MemoryBudget, MemoryClaim
 from sagetrack.http1.codec import BODY_LIMIT, MAX_HEADERS, ResponseError, ResponseReader
-from sagetrack.http1.request_memory import MemoryClaim, RequestMemoryBudget
 from sagetrack.http1.request_reader import RequestReader
 from tests.sockets import request
 
 
 def new_reader() -> RequestReader:
-    return RequestReader(BodyMemoryBudget(64), RequestMemoryBudget(64))
+    return RequestReader(MemoryBudget(64))
 
 
 @pytest.mark.parametrize("size", [1, 7, 10_000])
@@ -165,14 +165,13 @@
 
 
 def test_a_body_is_rejected_once_the_memory_budget_is_exhausted() -> None:
-    budget = RequestMemoryBudget(memory_mb=4)
-    reader = RequestReader(BodyMemoryBudget(64), budget)
+    budget = MemoryBudget(memory_mb=4)
+    reader = RequestReader(budget)
     MemoryClaim(budget).update(budget.total_bytes)
     reader.feed(request("search") + request("transfer", b"slip"), 16)
     without_body, with_body = reader.requests
     assert without_body.error is None
     assert with_body.error is not None and with_body.error.status == 503
-    assert budget.metric_values() == {
-        "request_memory_bytes": budget.total_bytes,
-        "request_memory_rejected_total": 1,
-    }
+    metrics = budget.metric_values()
+    assert metrics["request_memory_bytes"] == budget.total_bytes
+    assert metrics["request_memory_rejected_total"] == 1
