Remember ids of requests that may have run beyond their client and their process

Cause: the only table keyed by id was that of requests in flight. A client that leaves has the attempt cancelled, the entry went with it, and the server may still run the request. Class of bug: state whose key outlives the entry.

Change: `RecentRequests` remembers the id of an unsafe or keyed request from its first byte until the timeout and the window of its class are over, at most 16,384, counted in the memory budget; the id is forgotten if no attempt can have run. A request with a remembered id gets 400. The processes of one gateway append what they send to a file each in $TMPDIR (24 bytes, monotonic time), and read those of siblings and predecessors. Metrics svc_recent_requests, svc_repeated_ids_total.

--- a/sagetrack/core/attempt_observer.py
+++ b/sagetrack/core/attempt_observer.py
@@ -76,7 +76,11 @@
 
     def on_first_byte(self) -> None:
         """Record that the first byte of the request is sent in this iteration of the event loop."""
+        request = self._in_flight.request
         self._in_flight.attempt_records[self._number].first_byte_us = now_us()
+        if request.mirror_target < 0:
+            request_class = self._context.settings.classes[request.class_index]
+            self._context.recent_requests.remember(request.id, request_class)
 
     def on_request_sent(self) -> None:
         """Count the attempt as sent, and notify the load balancer if the request body was streamed."""
@@ -118,6 +122,7 @@
         id_ = in_flight.request.id
         in_flight.attempts_in_flight -= 1
         in_flight.attempt_records[self._number].outcome = outcome
+        self._forget_unless_run()
         context.outcomes.add(outcome.value)
         latency_us = attempt.latency_us
         succeeded = outcome is Outcome.OK
@@ -137,6 +142,13 @@
             id_, self._number, attempt.server, outcome, latency_us, in_flight.is_finished, load
         )
 
+    def _forget_unless_run(self) -> None:
+        """Forget the request's id if it is known that no attempt has run."""
+        in_flight = self._in_flight
+        settings = self._context.settings
+        if not any(record.may_have_run(settings) for record in in_flight.attempt_records):
+            self._context.recent_requests.forget(in_flight.request.id)
+
     def _respond(self, attempt: Attempt, response: AnyResponse | None) -> None:
         """Send the final response to the client, if this attempt was streaming it or has succeeded.
 
--- a/sagetrack/core/context.py
+++ b/sagetrack/core/context.py
@@ -11,6 +11,7 @@
 from sagetrack.core.interfaces import Recorder, UpstreamPool
 from sagetrack.core.invariants import InvariantViolations
 from sagetrack.core.metrics import LabeledCounter, Metrics
+from sagetrack.core.recent_requests import RecentRequests
 from sagetrack.core.send_rules import DenialReason
 from sagetrack.policy.settings import Settings
 
@@ -30,6 +31,7 @@
         denials: Counts attempts that were chosen but not sent, by `DenialReason`.
         outcomes: Counts attempts that have ended, by `Outcome`.
         rejections: Counts rejected requests, by `RejectReason`.
+        recent_requests: The ids of requests that may have run.
         endpoint_source: Service discovery; set when the gateway starts.
         recorder: Recorder of attempts and events in the durable store; None if no store is configured.
     """
@@ -44,6 +46,7 @@
     denials: LabeledCounter
     outcomes: LabeledCounter
     rejections: LabeledCounter
+    recent_requests: RecentRequests
     endpoint_source: EndpointSource | None = None
     recorder: Recorder | None = None
 
--- a/sagetrack/core/gateway.py
+++ b/sagetrack/core/gateway.py
@@ -22,6 +22,7 @@
 from sagetrack.core.interfaces import Recorder, UpstreamPool
 from sagetrack.core.invariants import InvariantViolations
 from sagetrack.core.metrics import Gauges, LabeledCounter, Metrics
+from sagetrack.core.recent_requests import RecentRequests
 from sagetrack.core.requests import Request
 from sagetrack.core.send_rules import DenialReason
 from sagetrack.core.server_list import ServerList
@@ -40,6 +41,7 @@
         balancer: The load balancer.
         known_endpoints: The endpoint list supplied at startup, in the encoding of service discovery.
         in_flight: The requests in flight, by id.
+        recent_requests: The ids of requests that may have run.
         post: Queues an event for the load balancer; see `EventDispatcher.post`.
         executor: Executes the actions of the load balancer.
         trace: Keeps the most recent unusual events in memory for operators.
@@ -74,6 +76,7 @@
         self._dispatcher = EventDispatcher(self.balancer, self.violations)
         self.post: PostEvent = self._dispatcher.post
         self.in_flight = InFlightRequests(upstream, self.trace, self.post)
+        self.recent_requests = RecentRequests()
         self.metrics = Metrics(classes, self._gauges())
         self._context = self._make_context()
         self._servers = ServerList(self._context)
@@ -103,7 +106,9 @@
             denials=LabeledCounter("withheld_total", "reason", (denial.value for denial in DenialReason)),
             outcomes=LabeledCounter("attempts_total", "outcome", (outcome.value for outcome in Outcome)),
             rejections=LabeledCounter("refused_total", "reason", ()),
+            recent_requests=self.recent_requests,
         )
+        self.metrics.metric_sources.append(self.recent_requests.metric_values)
         for counts in (self.violations, context.denials, context.outcomes, context.rejections):
             self.metrics.metric_sources.append(counts.metric_values)
         return context
@@ -151,9 +156,10 @@
         """Accept a request, whose client receives exactly one final response unless it is cancelled.
 
         Returns:
-            True if the request was accepted; False if a request with the same id is already in flight.
+            True if the request was accepted; False if one with the same id is in flight or may have run.
         """
-        if request.id in self.in_flight:
+        request_class = self.settings.classes[request.class_index]
+        if request.id in self.in_flight or not self.recent_requests.may_run(request.id, request_class):
             return False
         now = now_us()
         waited_us = max(0, now - request.received_us) if request.received_us else 0
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -45,6 +45,7 @@
         self.overload = OverloadManager(self.context)
         self.memory_budget.sources += [
             lambda: gateway.in_flight.memory_bytes,
+            lambda: gateway.recent_requests.memory_bytes,
             lambda: pools.open_connections * UPSTREAM_CONNECTION_BYTES,
         ]
         self.acceptor = Acceptor(
@@ -105,6 +106,7 @@
         """Close connections whose time limit has passed, and apply changes of the number of processes."""
         loop = asyncio.get_running_loop()
         previous_count = self.siblings.sibling_count
+        self.gateway.recent_requests.merge_shared()
         self.siblings.refresh()
         if self.siblings.sibling_count != previous_count:
             self._apply_process_count()
--- a/sagetrack/server/gateway_assembly.py
+++ b/sagetrack/server/gateway_assembly.py
@@ -35,6 +35,7 @@
 from sagetrack.server.listen import bind_listener, inherit_listener
 from sagetrack.server.observation_exchange import ObservationExchange
 from sagetrack.server.protocol_listeners import ProtocolListeners
+from sagetrack.server.recent_request_files import RecentRequestFiles
 from sagetrack.server.startup_timing import StartupTiming
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
         self.config = config
         self.operator = operator
         self.persistence: Persistence | None = None
+        self.recent_request_files: RecentRequestFiles | None = None
         self.pools = ConnectionPools(config.settings, memory_budget=MemoryBudget(config.memory_mb))
         self.tls_keys = load_tls_keys(operator)
         router = build_protocol_router(config, operator, self.pools, self.tls_keys)
@@ -188,6 +190,8 @@
         config = self.config
         endpoint_list = self.hot_restart.endpoint_list
         self.hot_restart.join()
+        if self.hot_restart.folder is not None:
+            self._share_recent_requests(str(self.hot_restart.folder))
         self.gateway.known_endpoints = endpoint_list.select_newest(
             config.discovery,
             self.gateway.known_endpoints,
@@ -195,6 +199,16 @@
         )
         self.discovery.on_list_changed = endpoint_list.schedule_write
 
+    def _share_recent_requests(self, folder: str) -> None:
+        """Learn from earlier and sibling processes which requests may still run, and tell them of ours."""
+        recent_requests = self.gateway.recent_requests
+        files = RecentRequestFiles(
+            folder, recent_requests.live_entries, lambda: self.hot_restart.sibling_count > 0
+        )
+        recent_requests.shared = self.recent_request_files = files
+        recent_requests.merge_shared()
+        files.remove_expired()
+
     async def _listening_socket(self) -> socket.socket:
         descriptor = self.config.accept_fd
         if descriptor is not None:
@@ -258,6 +272,7 @@
         if self.persistence is not None:
             self.persistence.close()
         self.hot_restart.release()
+        self._close_recent_requests()
         self.gateway.close()
 
     def close(self) -> None:
@@ -269,4 +284,9 @@
         if self.grpc_upstreams is not None:
             self.grpc_upstreams.close()
         self.protocol_listeners.close()
+        self._close_recent_requests()
         self.gateway.close()
+
+    def _close_recent_requests(self) -> None:
+        if self.recent_request_files is not None:
+            self.recent_request_files.close()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -212,6 +212,8 @@
             "svc_cluster_size": 1,
             "svc_cluster_unhealthy": 0,
             "svc_request_memory_rejected_total": 0,
+            "svc_recent_requests": 2,  # the pending and the failed request may have run
+            "svc_repeated_ids_total": 0,
         }
         pending.respond(http_response())
         assert (await client.read_response()).status == 200
