Soak: memory limits, crowds, ids that come again, reborn servers, earliest kills

The soak played none of the incident's pictures: gateways had 128 MB and nobody looked at their memory, every client was sound, ids never came again after their client had left, a server kept its name, and the kill came 1.2 s later than the platform may send it for the longest deadline.

--- a/sagetrack/cli/soak.py
+++ b/sagetrack/cli/soak.py
@@ -20,6 +20,7 @@
     gateways: Annotated[int, typer.Option(help="gateway processes")] = 4,
     servers: Annotated[int, typer.Option(help="upstream server processes")] = 6,
     clients: Annotated[int, typer.Option(help="client processes, of ten clients each")] = 3,
+    memory: Annotated[int, typer.Option(help="memory limit of a gateway in MB")] = 96,
     folder: Annotated[
         Path | None, typer.Option(help="directory for the events and logs of all processes")
     ] = None,
@@ -36,7 +37,7 @@
         raise error_exit(
             "--seeds, --gateways, --servers and --clients must be at least 1, --seconds at least 3"
         )
-    size = SoakSize(gateways, servers, clients, seconds)
+    size = SoakSize(gateways, servers, clients, seconds, memory_mb=memory)
     run_folder = folder if folder is not None else create_run_folder()
     failed_seeds = 0
     for number in range(seed, seed + seeds):
@@ -52,7 +53,7 @@
     verdict = f"{len(report.violations)} violations" if report.violations else "passed"
     print(
         f"seed {report.seed}: {verdict}, {report.served} of {report.sent} served, {len(report.faults)} "
-        f"faults, {report.failed_system_calls} failed system calls"
+        f"faults, {report.failed_system_calls} failed system calls, {report.peak_memory_mb:.0f} MB at most"
     )
     for limitation in report.limitations:
         print(f"  without {limitation}")
--- a/sagetrack/lab/soak/client.py
+++ b/sagetrack/lab/soak/client.py
@@ -20,6 +20,7 @@
     AnyEvent,
     ClientDisconnected,
     EventWriter,
+    IdRepeated,
     MalformedRequestIgnored,
     RequestSent,
     ResponseMissing,
@@ -35,6 +36,7 @@
 RESPONSE_GRACE_S = 1.0  # time past a request's budget after which its response counts as missing
 MALFORMED_REQUEST_TIMEOUT_S = 3.0  # a malformed request must get an error or a close within this time
 LAST_ON_CONNECTION_SHARE = 0.15  # share of the actions after which the client closes its connection
+REPEATED_CLASS_NAMES = ("transfer", "reserve")
 CLASS_NAMES = ("search", "search", "hold", "reserve", "transfer", "transfer")
 BUDGETS_MS = (150, 400, 800, 1_500, 2_500)
 DISCONNECT_AFTER_S = (0.0, 0.01, 0.03, 0.2)
@@ -82,6 +84,7 @@
             self._upload: 5.0,
             self._send_after_idle: 8.0,
             self._send_malformed: 4.0,
+            self._repeat_id: 6.0,
         }
 
     async def run(self) -> None:
@@ -115,6 +118,23 @@
         self._drop_connection()
         self._events.write(ClientDisconnected(now_us(), request.request_id))
 
+    async def _repeat_id(self) -> None:
+        """Send a request, leave soon, and send a request with the same ID at once on a new connection."""
+        class_name = self._rng.choice(REPEATED_CLASS_NAMES)
+        request = self._random_request()._replace(class_name=class_name)
+        self._drop_connection()
+        connection = await self._connect()
+        connection.writer.write(request.encode())
+        self._events.write(IdRepeated(now_us(), request.request_id, class_name, self._gateway))
+        await asyncio.sleep(self._rng.choice(DISCONNECT_AFTER_S))
+        self._drop_connection()
+        connection = await self._connect()
+        connection.writer.write(request.encode())
+        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(request.budget_ms / 1000 + RESPONSE_GRACE_S):
+                await connection.reader.read(1)
+        self._drop_connection()
+
     async def _pipeline(self) -> None:
         """Send several requests with the same budget at once on a new connection.
 
--- a/sagetrack/lab/soak/events.py
+++ b/sagetrack/lab/soak/events.py
@@ -57,6 +57,14 @@
     request_id: str
 
 
+class IdRepeated(Event):
+    """A client has sent a request, left, and sent another request with the same ID."""
+
+    request_id: str
+    class_name: str
+    gateway: int
+
+
 class AttemptStarted(Event):
     """The first byte of an attempt has reached the fault proxy."""
 
@@ -100,6 +108,7 @@
     | ResponseReceived
     | ResponseMissing
     | ClientDisconnected
+    | IdRepeated
     | AttemptStarted
     | AttemptReceived
     | RequestRejected
--- a/sagetrack/lab/soak/fault_injection.py
+++ b/sagetrack/lab/soak/fault_injection.py
@@ -17,7 +17,9 @@
 from sagetrack.lab.soak.proxy import FaultCommand, RouteFault
 from sagetrack.lab.soak.server import Behaviour
 from sagetrack.lab.soak.shim import NO_FAULTS, SystemCallFaults
+from sagetrack.lab.stand_ins.slow_clients import SlowClients
 
+CROWD_CLIENTS = 120  # slow clients of one crowd
 PAUSE_S = 0.12  # duration of each SIGSTOP of a gateway
 PAUSE_GAP_S = 0.15  # time between SIGCONT and the next SIGSTOP
 HALF_WRITTEN_CONFIGURATION_S = 0.2  # time from SIGHUP until the configuration file is complete
@@ -57,6 +59,7 @@
             FaultKind.MUTE: self._mute_route,
             FaultKind.RESET: self._reset_route,
             FaultKind.STALL: self._stall_route,
+            FaultKind.CROWD: self._send_crowd,
         }
 
     async def apply_when_due(self, fault: ScheduledFault) -> None:
@@ -124,6 +127,13 @@
         gateway.system_calls.set(NO_FAULTS)
         self._history.system_call_faults.append(GatewaySpan(gateway.number, since_us, now_us()))
 
+    async def _send_crowd(self, fault: ScheduledFault) -> None:
+        """Let a crowd of slow clients connect to a gateway."""
+        clients = SlowClients(("127.0.0.1", self._gateway(fault).port))
+        clients.start(fault.habit, CROWD_CLIENTS)
+        await asyncio.sleep(fault.duration_s)
+        await clients.stop()
+
     # Faults of discovery
 
     async def _fail_discovery(self, fault: ScheduledFault) -> None:
@@ -182,7 +192,10 @@
         await asyncio.sleep(SERVER_LISTING_DELAY_S)
         withdrawal.until_us = now_us()
         self._history.restarts.append(Restart(server, now_us()))
-        self._fleet.endpoint_list.set_status(server, EndpointStatus.SERVING, restarted=True)
+        deleted = self._fleet.endpoint_list.endpoints[server].status is EndpointStatus.DELETED
+        self._fleet.endpoint_list.set_status(
+            server, EndpointStatus.SERVING, restarted=True, renamed=deleted and server % 2 == 0
+        )
         self._withdrawn_servers.discard(server)
 
     async def _misbehave(self, fault: ScheduledFault) -> None:
--- a/sagetrack/lab/soak/fault_schedule.py
+++ b/sagetrack/lab/soak/fault_schedule.py
@@ -8,6 +8,7 @@
 
 from sagetrack.lab.soak.server import Behaviour
 from sagetrack.lab.soak.shim import CALL_GROUPS, NO_FAULTS, SystemCallFaults
+from sagetrack.lab.stand_ins.slow_clients import Habit
 
 QUIET_S = 1.0  # time without faults at the start and the end of a run
 MEAN_GAP_S = 0.7  # mean time between the starts of two faults
@@ -36,6 +37,7 @@
     MISBEHAVE = "behave"  # a server sends faulty or slow responses
     MUTE = "mute"  # new connections from a gateway to a server are not established
     RESET = "reset"  # the connections between a gateway and a server are reset
+    CROWD = "crowd"  # many slow clients connect to a gateway
     STALL = "stall"  # the connections between a gateway and a server pass no data
 
 
@@ -58,6 +60,7 @@
     FaultKind.MUTE: 3,
     FaultKind.RESET: 2,
     FaultKind.STALL: 1,
+    FaultKind.CROWD: 2,
 }
 DURATIONS_S = {
     FaultKind.MUTE: (0.2, 1.6),
@@ -84,6 +87,7 @@
     behaviour: Behaviour = Behaviour.NORMAL
     system_call_faults: SystemCallFaults = NO_FAULTS
     clock_step_s: int = 0
+    habit: Habit = Habit.SILENT
 
     def __str__(self) -> str:
         return (
@@ -97,6 +101,8 @@
                 return f" {self.behaviour.value}"
             case FaultKind.SYSTEM_CALLS:
                 return "".join(f" {group}" for group in self.system_call_faults.failing_groups())
+            case FaultKind.CROWD:
+                return f" {self.habit.value}"
             case FaultKind.CLOCK_STEP:
                 return f" {self.clock_step_s:+d} s"
             case _:
@@ -125,7 +131,8 @@
             behaviour = rng.choice([value for value in Behaviour if value is not Behaviour.NORMAL])
             step_s = rng.choice(CLOCK_STEPS_S)
             faults = _random_system_call_faults(rng)
-            fault = ScheduledFault(at_s, duration_s, kind, gateway, server, behaviour, faults, step_s)
+            habit = rng.choice(list(Habit))
+            fault = ScheduledFault(at_s, duration_s, kind, gateway, server, behaviour, faults, step_s, habit)
             schedule.append(fault)
         at_s += rng.expovariate(1 / MEAN_GAP_S)
     return schedule
--- a/sagetrack/lab/soak/fleet.py
+++ b/sagetrack/lab/soak/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from asyncio.subprocess import Process
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,10 +14,13 @@
 from sagetrack.lab.processes.resource_usage import free_port
 from sagetrack.lab.soak.discovery import DiscoveryAgent, EndpointList
 from sagetrack.lab.soak.gateway import Gateway
+from sagetrack.lab.soak.gateway_configuration import GatewayLimits
 from sagetrack.lab.soak.process_supervisor import ProcessSupervisor, send_line
 from sagetrack.lab.soak.proxy import FaultCommand, Route
 from sagetrack.lab.soak.server import Behaviour
 
+DEADLINES_S = (1.0, 2.5)  # choices of the longest deadline of a run's requests
+
 
 @dataclass(slots=True)
 class SoakSize:
@@ -26,6 +30,8 @@
     servers: int = 6
     client_processes: int = 3
     seconds: float = 12.0  # duration of the fault schedule
+    gateway_module: str = "sagetrack"  # the module that a gateway process runs
+    memory_mb: int = 96  # memory limit of a gateway
 
 
 class ClientsEndedError(RuntimeError):
@@ -42,7 +48,7 @@
         self._size = size
         self._folder = folder
         self._library = library  # shim library that makes system calls fail; None if there is none
-        self._supervisor = ProcessSupervisor(folder)
+        self._supervisor = ProcessSupervisor(folder, size.gateway_module)
         self._server_ports = [free_port() for _ in range(size.servers)]
         self._servers: dict[int, Process] = {}
         self._proxy: Process | None = None
@@ -53,12 +59,21 @@
         await asyncio.gather(*(self.start_server(number) for number in range(self._size.servers)))
         addresses = await self._start_proxy()
         servers = self._size.servers
+        deadline_s = random.Random(self._seed).choice(DEADLINES_S)
         for number in range(self._size.gateways):
             own_addresses = addresses[number * servers : (number + 1) * servers]
             agent = DiscoveryAgent(number, self.endpoint_list, dict(enumerate(own_addresses)))
             await agent.listen()
             self.gateways.append(
-                Gateway(number, self._size.gateways, self._folder, agent, self._supervisor, self._library)
+                Gateway(
+                    number,
+                    self._size.gateways,
+                    self._folder,
+                    agent,
+                    self._supervisor,
+                    self._library,
+                    GatewayLimits(memory_mb=self._size.memory_mb, deadline_s=deadline_s),
+                )
             )
         peer_addresses = [gateway.peer_address for gateway in self.gateways]
         for gateway in self.gateways:
--- a/sagetrack/lab/soak/gateway.py
+++ b/sagetrack/lab/soak/gateway.py
@@ -9,11 +9,13 @@
 import socket
 import time
 from asyncio.subprocess import Process
+from collections.abc import Iterator
 from pathlib import Path
 
 from sagetrack.lab.processes.resource_usage import free_port
 from sagetrack.lab.soak.discovery import DiscoveryAgent
 from sagetrack.lab.soak.gateway_configuration import (
+    GatewayLimits,
     GatewayNetwork,
     gateway_configuration,
     operator_configuration,
@@ -80,6 +82,13 @@
             self.end_expected = True
         self._process.send_signal(number)
 
+    def memory_bytes(self) -> int:
+        """Return the resident memory; 0 if the process has ended. Raises OSError if it ends meanwhile."""
+        if self.exit_status is not None:
+            return 0
+        pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
     def open_descriptors(self) -> int:
         """Return the number of the process's open descriptors; 0 if it has ended."""
         if self.exit_status is not None:
@@ -98,6 +107,7 @@
         agent: DiscoveryAgent,
         supervisor: ProcessSupervisor,
         library: Path | None,
+        limits: GatewayLimits,
     ) -> None:
         """Open the listening socket; no process is started yet.
 
@@ -108,7 +118,9 @@
             agent: The gateway's discovery agent, which is already listening.
             supervisor: Starts and ends the processes.
             library: The shim library that makes system calls fail, or None.
+            limits: What the platform allows the gateway.
         """
+        self.limits = limits
         self.number = number
         self.agent = agent
         self.processes: list[GatewayProcess] = []  # the newest last
@@ -132,6 +144,13 @@
         """The process that was started last."""
         return self.processes[-1]
 
+    def memory_bytes(self) -> Iterator[int]:
+        """Yield the memory of each process and the size of each file in the temporary folder."""
+        for process in self.processes:
+            yield process.memory_bytes()
+        for path in self._temporary_folder.iterdir():
+            yield path.stat().st_size
+
     def set_peers(self, addresses: list[str]) -> None:
         """Set the peer addresses, in the order of gateway numbers, for processes started from now on."""
         self._network.peers = addresses
@@ -159,7 +178,7 @@
         """Build the configuration file with the current discovery address and endpoint list."""
         agent = self.agent
         configuration = gateway_configuration(
-            self.number, self._gateway_count, self._network, agent.address, agent.snapshot()
+            self.number, self._gateway_count, self._network, agent.address, agent.snapshot(), self.limits
         )
         return json.dumps(configuration).encode()
 
--- a/sagetrack/lab/soak/history.py
+++ b/sagetrack/lab/soak/history.py
@@ -63,6 +63,7 @@
     crashes: list[str] = field(default_factory=list)
     leaks: list[str] = field(default_factory=list)
     counted_violations: list[str] = field(default_factory=list)  # from the gateways' own metrics
+    memory_excess: dict[int, float] = field(default_factory=dict)  # by gateway: peak above the limit, in MB
 
     def excuses_missing_response(self, gateway: int, sent_us: int, until_us: int) -> bool:
         """Return True if the faults excuse that a request got no response between these times.
@@ -93,6 +94,14 @@
             span.gateway == gateway and span.from_us < until_us and span.to_us > from_us for span in self.down
         )
 
+    def may_have_lost_a_file_write(self, gateway: int, at_us: int) -> bool:
+        """Return True if the gateway's system calls failed around this time."""
+        grace_us = int(SYSTEM_CALL_FAULT_GRACE_S * US_PER_S)
+        return any(
+            span.gateway == gateway and span.from_us - grace_us <= at_us <= span.to_us + grace_us
+            for span in self.system_call_faults
+        )
+
     def change_known_us(self, gateway: int, changed_us: int) -> int:
         """Return the time at which a gateway counts as knowing a change of the endpoint list.
 
--- a/sagetrack/lab/soak/oracle.py
+++ b/sagetrack/lab/soak/oracle.py
@@ -46,6 +46,7 @@
     RESPONSE_IN_TIME = "late"
     RESPONSE = "lost"
     NO_DUPLICATE = "duplicate"
+    WITHIN_MEMORY = "memory"
     NO_ATTEMPT_AFTER_DISCONNECT = "after_close"
     ATTEMPT_BUDGET = "told"
     NO_ATTEMPT_AT_WITHDRAWN_SERVER = "drain"
@@ -82,7 +83,12 @@
 
 
 def _process_violations(history: History) -> Violations:
-    """`NO_CRASH`, `NO_LEAK`, `NO_COUNTED_VIOLATION`: problems of the processes that the run recorded."""
+    """Yield the problems of the processes that the run recorded.
+
+    These are `NO_CRASH`, `NO_LEAK`, `NO_COUNTED_VIOLATION` and `WITHIN_MEMORY`.
+    """
+    for gateway, peak_mb in history.memory_excess.items():
+        yield Violation(Rule.WITHIN_MEMORY, f"gateway {gateway} held {peak_mb:.1f} MB")
     yield from (Violation(Rule.NO_CRASH, crash) for crash in history.crashes)
     yield from (Violation(Rule.NO_LEAK, leak) for leak in history.leaks)
     yield from (Violation(Rule.NO_COUNTED_VIOLATION, violation) for violation in history.counted_violations)
@@ -182,6 +188,26 @@
             yield Violation(Rule.NO_DUPLICATE, f"{request_id} {class_name} retried after {apart_s:.2f} s")
 
 
+def _repeated_id_is_processed_once(request_id: str, trace: RequestTrace, history: History) -> Violations:
+    """`NO_DUPLICATE`: an unsafe request is processed once although its ID comes again.
+
+    A keyed request whose key is known to one group only ("reserve") is processed in that group only. Excused:
+    attempts that a server has rejected, and failing system calls of the gateway, whose processes exchange
+    what they have sent in files.
+    """
+    if trace.repeated is None or history.may_have_lost_a_file_write(
+        trace.repeated.gateway, trace.repeated.at_us
+    ):
+        return
+    for earlier, later in combinations(trace.attempts_received, 2):
+        same_group = history.server_groups[later.server] == history.server_groups[earlier.server]
+        if trace.repeated.class_name == "reserve" and same_group:
+            continue
+        if not trace.rejected_by(earlier.server):
+            where = f"at servers {earlier.server} and {later.server}"
+            yield Violation(Rule.NO_DUPLICATE, f"{request_id} {trace.repeated.class_name} came again {where}")
+
+
 def _no_attempt_after_disconnect(request_id: str, trace: RequestTrace, history: History) -> Violations:
     """`NO_ATTEMPT_AFTER_DISCONNECT`: no attempt starts after its client has closed the connection.
 
@@ -294,6 +320,7 @@
     _response_is_within_budget,
     _request_gets_response,
     _request_is_not_processed_twice,
+    _repeated_id_is_processed_once,
     _no_attempt_after_disconnect,
     _attempt_budget_is_within_remaining,
     _no_attempt_at_withdrawn_server,
--- a/sagetrack/lab/soak/process_supervisor.py
+++ b/sagetrack/lab/soak/process_supervisor.py
@@ -21,8 +21,9 @@
     The kernel kills them if this process dies.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, gateway_module: str = "sagetrack") -> None:
         self._folder = folder
+        self._gateway_module = gateway_module
         self._processes: list[Process] = []
 
     async def start_module(self, module: str, name: str, *arguments: str) -> Process:
@@ -52,7 +53,7 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "sagetrack",
+                self._gateway_module,
                 cwd=ROOT,
                 env=os.environ | environment | {"PYTHONPATH": str(ROOT)},
                 stdout=output,
--- a/sagetrack/lab/soak/request_trace.py
+++ b/sagetrack/lab/soak/request_trace.py
@@ -11,6 +11,7 @@
     AttemptReceived,
     AttemptStarted,
     ClientDisconnected,
+    IdRepeated,
     RequestRejected,
     RequestSent,
     ResponseMissing,
@@ -26,6 +27,7 @@
     responses: list[ResponseReceived] = field(default_factory=list)
     missing_responses: list[ResponseMissing] = field(default_factory=list)
     disconnect: ClientDisconnected | None = None
+    repeated: IdRepeated | None = None
     attempts_started: list[AttemptStarted] = field(default_factory=list)
     attempts_received: list[AttemptReceived] = field(default_factory=list)
     rejections: list[RequestRejected] = field(default_factory=list)
@@ -53,6 +55,8 @@
                 traces[event.request_id].missing_responses.append(event)
             case ClientDisconnected():
                 traces[event.request_id].disconnect = event
+            case IdRepeated():
+                traces[event.request_id].repeated = event
             case AttemptStarted():
                 traces[event.request_id].attempts_started.append(event)
             case AttemptReceived():
--- a/sagetrack/lab/soak/run.py
+++ b/sagetrack/lab/soak/run.py
@@ -18,6 +18,7 @@
 )
 from sagetrack.lab.soak.gateway_lifecycle import GatewayLifecycle
 from sagetrack.lab.soak.history import GatewaySpan, History
+from sagetrack.lab.soak.memory_watch import MemoryWatch
 from sagetrack.lab.soak.shim import ShimError, build_library
 from sagetrack.lab.soak.verdict import SoakReport, evaluate_run
 
@@ -38,6 +39,7 @@
         server_groups = {server: group_of(server) for server in range(size.servers)}
         self._history = History(server_groups=server_groups)
         self._fleet = Fleet(seed, size, folder, library)
+        self._memory_watch = MemoryWatch(self._fleet.gateways, size.memory_mb, self._history)
         self._lifecycle = GatewayLifecycle(self._history)
         self._injector = FaultInjector(self._fleet, self._lifecycle, size.servers, self._history)
 
@@ -58,10 +60,12 @@
 
     async def _inject_faults(self) -> None:
         """Apply all faults; returns when the last one is over and the planned duration has passed."""
+        watch = asyncio.create_task(self._memory_watch.run())
         async with asyncio.TaskGroup() as group:
             for fault in self._faults:
                 group.create_task(self._injector.apply_when_due(fault))
             group.create_task(asyncio.sleep(self._size.seconds))
+        watch.cancel()
         for gateway in self._fleet.gateways:
             gateway.agent.recover()
 
@@ -88,6 +92,7 @@
         failed_calls = sum(gateway.system_calls.failed_calls for gateway in gateways)
         events = read_events(self._folder)
         report = evaluate_run(self._seed, events, history, self._faults, failed_calls)
+        report.peak_memory_mb = self._memory_watch.peak_mb
         if self._library is None:
             report.limitations.append(NO_COMPILER_LIMITATION)
         return report
--- a/sagetrack/lab/soak/verdict.py
+++ b/sagetrack/lab/soak/verdict.py
@@ -23,6 +23,7 @@
     sent: int  # number of requests, not counting resends
     served: int  # number of responses with status 200
     failed_system_calls: int
+    peak_memory_mb: float = 0.0  # of all processes of one gateway together
     limitations: list[str] = field(default_factory=list)  # faults that this machine cannot inject
 
 
