Count unsent upstream data, and free ended connections while memory is short

Seen: one run of the whole suite beside soaks failed in test_memory_limits, stalled bodies, 32.18 of 32 MB; a trial with lower thresholds had 33.4 to 34.0 MB with half bodies, 5.6 MB of it counted nowhere.

Cause: an ended client connection is a reference cycle, which the collector frees late, as it waits for a quarter of the heap; with 2,800 rejected connections in 5 s their memory stayed. Unsent data of upstream connections was not claimed.

--- a/sagetrack/core/memory_budget.py
+++ b/sagetrack/core/memory_budget.py
@@ -17,7 +17,7 @@
 
 BYTES_PER_MB = 1024 * 1024
 # Share of the limit that is kept for what no claim covers: free memory between objects, and short-lived data.
-RESERVE_SHARE = 0.08
+RESERVE_SHARE = 0.1
 MIN_BUDGET_BYTES = 2 * BYTES_PER_MB  # budget of a process whose limit leaves less; it may then be exceeded
 STREAM_SHARE = 0.5  # share of the budget for the buffers of all streamed bodies
 MAX_STREAM_BUFFER = 64 * 1024  # bytes buffered per streamed body before its sender is paused
@@ -43,9 +43,9 @@
 # Share of the budget in use from which each action is taken.
 THRESHOLDS = {
     OverloadAction.STOP_READ_AHEAD: 0.25,
-    OverloadAction.SHRINK_BUFFERS: 0.65,
-    OverloadAction.CLOSE_IDLE: 0.7,
-    OverloadAction.REJECT_BODIES: 0.75,
+    OverloadAction.SHRINK_BUFFERS: 0.55,
+    OverloadAction.CLOSE_IDLE: 0.6,
+    OverloadAction.REJECT_BODIES: 0.65,
     OverloadAction.REJECT_CONNECTIONS: 0.9,
     OverloadAction.RESET_STREAMS: 0.96,
 }
--- a/sagetrack/http1/overload.py
+++ b/sagetrack/http1/overload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections.abc import Iterable
 
 from sagetrack.core.memory_budget import OverloadAction
@@ -34,6 +35,8 @@
         """Carry out the overload action of the present moment, and return it."""
         budget = self._context.memory_budget
         action = budget.sweep()
+        if action >= OverloadAction.STOP_READ_AHEAD:
+            gc.collect()  # ended connections are reference cycles, and hold their data until then
         if action >= OverloadAction.RESET_STREAMS:
             self._reset_stalled()
         return action
--- a/sagetrack/http1/upstream_connection.py
+++ b/sagetrack/http1/upstream_connection.py
@@ -84,7 +84,7 @@
         self.waiting_attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.responses = ResponseReader(streams=True)
-        self.claim = MemoryClaim(owner.memory_budget)  # of a response that is buffered until it is complete
+        self.claim = MemoryClaim(owner.memory_budget)  # of unsent data and of a buffered response
         self.stream_timer: asyncio.TimerHandle | None = None  # starts to stream a response of unknown length
         self.is_paused = False
         self.body_written = True  # True if the whole request has been passed to the transport
@@ -156,8 +156,14 @@
         if self.transport.is_closing():
             return False
         self.transport.write(data)
+        self.update_memory()
         return not self.transport.is_closing()
 
+    def update_memory(self) -> None:
+        """Report the memory of unsent data, and of a response that is buffered until it is complete."""
+        unsent_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        self.claim.update(self.responses.buffered_bytes + unsent_bytes)
+
     def close(self) -> None:
         """Close at once; data that is still in the write buffer is lost."""
         self.cancel_stream_timer()
@@ -210,6 +216,7 @@
     def resume_writing(self) -> None:
         """Continue when the kernel has accepted all written data; called by the event loop."""
         self.is_flushed = True
+        self.update_memory()
         self.write_body()
 
     # Responses
@@ -232,7 +239,7 @@
         except ResponseError:
             self.owner.on_protocol_error(self)
             return
-        self.claim.update(self.responses.buffered_bytes)
+        self.update_memory()
         attempt = self.attempt
         if response is not None:
             self.cancel_stream_timer()
@@ -277,7 +284,7 @@
         self.owner.on_stream_started(attempt)
         attempt.on_response_started(attempt, self.responses.head(), self)
         body = self.responses.take_body()
-        self.claim.update(0)
+        self.update_memory()
         if self.attempt is attempt and body:
             attempt.on_response_data(body)
 
--- a/sagetrack/lab/soak/history.py
+++ b/sagetrack/lab/soak/history.py
@@ -95,10 +95,9 @@
         )
 
     def may_have_lost_a_file_write(self, gateway: int, at_us: int) -> bool:
-        """Return True if the gateway's system calls failed around this time."""
-        grace_us = int(SYSTEM_CALL_FAULT_GRACE_S * US_PER_S)
+        """Return True if the gateway's system calls failed at this time."""
         return any(
-            span.gateway == gateway and span.from_us - grace_us <= at_us <= span.to_us + grace_us
+            span.gateway == gateway and span.from_us <= at_us <= span.to_us
             for span in self.system_call_faults
         )
 
--- a/sagetrack/lab/soak/oracle.py
+++ b/sagetrack/lab/soak/oracle.py
@@ -192,14 +192,14 @@
     """`NO_DUPLICATE`: an unsafe request is processed once although its ID comes again.
 
     A keyed request whose key is known to one group only ("reserve") is processed in that group only. Excused:
-    attempts that a server has rejected, and failing system calls of the gateway, whose processes exchange
-    what they have sent in files.
+    attempts that a server has rejected, and attempts during failing system calls of the gateway, whose
+    processes exchange what they have sent in files.
     """
-    if trace.repeated is None or history.may_have_lost_a_file_write(
-        trace.repeated.gateway, trace.repeated.at_us
-    ):
+    if trace.repeated is None:
         return
     for earlier, later in combinations(trace.attempts_received, 2):
+        if history.may_have_lost_a_file_write(earlier.gateway, earlier.at_us):
+            continue
         same_group = history.server_groups[later.server] == history.server_groups[earlier.server]
         if trace.repeated.class_name == "reserve" and same_group:
             continue
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from sagetrack.lab.soak.discovery import EndpointList, EndpointStatus
 from sagetrack.lab.soak.events import (
     AnyEvent,
     AttemptReceived,
     AttemptStarted,
     ClientDisconnected,
     EventWriter,
+    IdRepeated,
     MalformedRequestIgnored,
     RequestRejected,
     RequestSent,
@@ -26,6 +28,7 @@
 from sagetrack.lab.soak.oracle import find_violations
 from sagetrack.lab.soak.run import run_soak
 from sagetrack.lab.soak.shim import FaultControl, SystemCallFaults, build_library
+from tests.planted_fault import VARIABLE
 
 SECOND_US = 1_000_000
 SERVER_GROUPS = {0: 0, 1: 1, 2: 0}
@@ -221,3 +224,48 @@
     report = run_soak(4, SoakSize(gateways=2, servers=4, client_processes=1, seconds=60.0), tmp_path)
     assert not report.violations, "\n".join(map(str, [*report.violations, *report.faults]))
     assert report.sent > 500 and not report.limitations
+
+
+@pytest.mark.parametrize(
+    ("fault", "rule"),
+    [("forget_ids", "duplicate"), ("leak_memory", "memory"), ("ignore_disconnects", "after_close")],
+)
+def test_the_soak_finds_a_planted_fault(
+    fault: str, rule: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(VARIABLE, fault)
+    size = SoakSize(1, 4, 1, seconds=8.0, gateway_module="tests.planted_fault")
+    report = run_soak(4, size, tmp_path)
+    assert rule in {violation.rule.value for violation in report.violations}
+
+
+def test_an_id_that_comes_again_must_be_processed_once() -> None:
+    def events(class_name: str, server: int) -> list[AnyEvent]:
+        return [
+            IdRepeated(0, "c", class_name, 0),
+            AttemptReceived(1_000, "c", 0, 0),
+            AttemptReceived(9_000, "c", 0, server),
+        ]
+
+    assert violated_rules(events("transfer", 0)) == violated_rules(events("reserve", 1)) == {"duplicate"}
+    assert not violated_rules(events("reserve", 2))  # the same group, which drops the repeat
+    assert not violated_rules([*events("transfer", 1), RequestRejected(2_000, "c", 0)])
+    history = History(server_groups=SERVER_GROUPS, system_call_faults=[GatewaySpan(0, 0, 1_000)])
+    assert not violated_rules(events("transfer", 1), history)
+
+
+def test_memory_above_the_limit_is_a_violation() -> None:
+    history = History(server_groups=SERVER_GROUPS, memory_excess={0: 97.0})
+    assert violated_rules(VALID_EVENTS, history) == {"memory"}
+
+
+def test_a_reborn_server_has_another_name_and_the_former_one_stays_deleted() -> None:
+    endpoints = EndpointList.of(2)
+    endpoints.set_status(0, EndpointStatus.DELETED)
+    endpoints.set_status(0, EndpointStatus.SERVING, restarted=True, renamed=True)
+    changes = endpoints.changes_since(1)
+    assert changes is not None
+    assert [(change.name, change.status) for change in changes] == [
+        ("s-0", EndpointStatus.DELETED),
+        ("s-0-1", EndpointStatus.SERVING),
+    ]
