--- a/sagetrack/http1/overload.py
+++ b/sagetrack/http1/overload.py
@@ -35,7 +35,7 @@
         """Carry out the overload action of the present moment, and return it."""
         budget = self._context.memory_budget
         action = budget.sweep()
-        if action >= OverloadAction.STOP_READ_AHEAD:
+        if action >= OverloadAction.SHRINK_BUFFERS:
             gc.collect()  # ended connections are reference cycles, and hold their data until then
         if action >= OverloadAction.RESET_STREAMS:
             self._reset_stalled()
