Wait at a start for an address that a predecessor still has

Related path of the start that ended beside a half-written configuration: a start that finds its listening or admin address in use ended with status 1 at once, also while the process before it was still ending. It now waits as long as for everything else (6 s), and then ends with the same line and status.

Measured: the new test (addresses held for 1.2 s) passes; without the change the process ends at once with status 1, as the two tests of an address in use show, which pass after 6 s.

--- a/sagetrack/core/transient_errors.py
+++ b/sagetrack/core/transient_errors.py
@@ -20,6 +20,7 @@
         errno.EINTR,
         errno.EAGAIN,
         errno.EIO,
+        errno.EADDRINUSE,  # a predecessor that is still ending has the address
     }
 )
 # Total time for all retries of one call. They are made at startup, and the process has to be ready by then.
--- a/tests/test_failing_start.py
+++ b/tests/test_failing_start.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -142,3 +143,26 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
+
+
+@on_event_loop
+async def test_a_start_waits_for_addresses_that_its_predecessor_still_has(tmp_path: Path) -> None:
+    async with scripted_server() as upstream:
+        with (
+            socket.create_server(("127.0.0.1", 0)) as first,
+            socket.create_server(("127.0.0.1", 0)) as second,
+        ):
+            port, admin = first.getsockname()[1], second.getsockname()[1]
+            file = tmp_path / "config.json"
+            file.write_text(json.dumps(configuration(upstream.address) | {"listen": f"127.0.0.1:{port}"}))
+            names = {"LB_CONFIG": str(file), "LB_ADMIN": f"127.0.0.1:{admin}"}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "sagetrack", cwd=ROOT, env=os.environ | names
+            )
+            await asyncio.sleep(2 * FAULT_DURATION_S)
+            assert process.returncode is None
+        try:
+            await wait_until_ready(port, admin)
+        finally:
+            process.kill()
+            await process.wait()
