Tests: the stand-in transport of the interleavings has a write buffer size

Since unsent upstream data is claimed, a connection asks its transport for it. The stand-in writes at once or holds bytes back itself, so that its buffer is empty.

--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -113,6 +113,9 @@
     def is_closing(self) -> bool:
         return self.closing
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def pause_reading(self) -> None: ...
 
     def resume_reading(self) -> None: ...
