Soak test: the planted fault of ignored disconnects leaves the clients busy

Cause: the fault delayed every attempt by 0.5 s. Clients then wait for their budget and a second more each time, so that a run of 8 s has few requests and may have no client that leaves early enough before a delayed attempt. The test was wrong in its fault, not in what it asks for.

Change: every third attempt is delayed, by 0.6 s; the rule that has to be found is the same.

--- a/tests/planted_fault.py
+++ b/tests/planted_fault.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import sys
 from collections.abc import Callable
@@ -20,7 +21,8 @@
 
 VARIABLE = "PLANTED_FAULT"
 LEAK_BYTES = 256 * 1024
-ATTEMPT_DELAY_S = 0.5
+ATTEMPT_DELAY_S = 0.6
+DELAYED_EVERY = 3  # one of so many attempts is delayed, so that the clients remain busy
 
 leaked: list[bytes] = []
 
@@ -42,11 +44,15 @@
 
 
 def ignore_disconnects() -> None:
-    """Start attempts late, and without asking whether the client is still there."""
+    """Start some attempts late, and all without asking whether the client is still there."""
     assign = AttemptRunner.assign
+    numbers = itertools.count(1)
 
     def assign_late(self: AttemptRunner, attempt: Attempt) -> None:
-        asyncio.get_running_loop().call_later(ATTEMPT_DELAY_S, assign, self, attempt)
+        if next(numbers) % DELAYED_EVERY:
+            assign(self, attempt)
+        else:
+            asyncio.get_running_loop().call_later(ATTEMPT_DELAY_S, assign, self, attempt)
 
     AttemptRunner.assign = assign_late  # type: ignore[method-assign]
     GatewayAttemptObserver.may_begin = lambda *arguments: True  # type: ignore[method-assign]
