Failing test: time of a long body whose end waits in the client's send buffer

Reproduction: a server whose connections do not come up, a request of 300 kB with 400 ms. What this process buffers and the receive buffer hold 190 kB; the rest waits in the client's send buffer, so the check of the receive buffer does not find the end. The kernel repeats the connection attempt after 1 s, and the server is told the whole 400 ms.

--- a/tests/test_body_arrival.py
+++ b/tests/test_body_arrival.py
@@ -10,11 +10,15 @@
 from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.http1.body_arrival import check_arrivals
+from sagetrack.lab.stand_ins.listener import SilenceableListener
 from tests.sockets import configuration, on_event_loop, request, running_gateway
 
 LENGTH = 100_000  # with what this process buffers, little enough to arrive while it does not read
 BUDGET_MS = 400
 RESPONSE_SLACK_S = 0.5  # after which a response is late
+# More than this process buffers and receives without reading; the rest waits in the client's send buffer.
+LONG_BODY = 300_000
+CONNECT_AFTER_S = 0.6  # a connection attempt is repeated by the kernel 1 s after the first
 
 
 @dataclass
@@ -67,3 +71,36 @@
             assert (await client.read_response()).status in (502, 503, 504)
             assert monotonic() - sent_s < BUDGET_MS / 1000 + RESPONSE_SLACK_S
             client.close()
+
+
+class HeadRecorder(asyncio.Protocol):
+    """Records the first bytes of each connection."""
+
+    heads: list[bytes]
+
+    def __init__(self, heads: list[bytes]) -> None:
+        self.heads = heads
+
+    def data_received(self, data: bytes) -> None:
+        self.heads.append(data)
+
+
+# Guards against an attempt whose server is told time that the client no longer has, soak seed 4.
+@on_event_loop
+async def test_a_late_connection_gets_no_time_beyond_that_of_a_body_in_the_send_buffer() -> None:
+    heads: list[bytes] = []
+    server = SilenceableListener("127.0.0.1", lambda: HeadRecorder(heads))
+    server.mute()
+    async with running_gateway(configuration(server.address)) as run:
+        client = await run.connect()
+        client.send(request("transfer", bytes(LONG_BODY), budget_ms=BUDGET_MS))
+        await client.writer.drain()
+        sent_s = monotonic()
+        await asyncio.sleep(CONNECT_AFTER_S)
+        server.unmute()
+        assert (await client.read_response()).status in (502, 503, 504)
+        assert monotonic() - sent_s < BUDGET_MS / 1000 + RESPONSE_SLACK_S
+        client.close()
+        await asyncio.sleep(1.0)  # the time at which a connection would come up
+    server.close()
+    assert not heads
