A lighter process: inspect, logging, subprocess and pathlib are not loaded

Cause: asyncio, uvloop and dataclasses import modules of which a gateway uses a constant or a function each; inspect alone brings ast, dis, tokenize. Own modules imported pathlib, which brings urllib and ipaddress, for a join of paths.

Change: placeholders with the names that are used; any other name loads the module itself. Paths are strings, and two copies of writing a file under a temporary name became core.files.replace_file.

test_work_counts counted writes by the attribute of a Path that os.replace was given; it is given a string now, and the test takes the name of either.

--- a/sagetrack/config/errors.py
+++ b/sagetrack/config/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pathlib import Path
+from os import PathLike
 
 
 class ConfigurationError(ValueError):
@@ -32,6 +32,6 @@
 class UnreadableError(IncompleteFileError):
     """The file cannot be read because of the operating-system error `error`, so its content is unchecked."""
 
-    def __init__(self, path: Path, error: OSError) -> None:
+    def __init__(self, path: PathLike[str], error: OSError) -> None:
         super().__init__([f"{path}: {error.strerror}"])
         self.error = error
--- a/sagetrack/peers/handover.py
+++ b/sagetrack/peers/handover.py
@@ -12,10 +12,10 @@
 import zlib
 from collections.abc import Iterable
 from dataclasses import replace
-from pathlib import Path
 
 import msgspec
 
+from sagetrack.core.files import StrPath, replace_file
 from sagetrack.core.log import log
 from sagetrack.peers.stored_observations import HandoverRecord, decode_record, encode_record
 from sagetrack.policy.peer_observations import ClassLatency, Observation
@@ -38,7 +38,7 @@
 
 
 def write(
-    folder: Path,
+    folder: StrPath,
     gateway: str,
     now_us: int,
     observations: Iterable[Observation],
@@ -61,10 +61,10 @@
     if len(body) > MAX_BODY_BYTES:
         log(f"health hand-over not written: {len(body)} bytes, at most {MAX_BODY_BYTES} are allowed")
         return False
-    temporary_path = folder / f"{FILE_NAME}.{os.getpid()}"
     try:
-        temporary_path.write_bytes(MAGIC + zlib.crc32(body).to_bytes(CHECKSUM_BYTES) + body)
-        os.replace(temporary_path, folder / FILE_NAME)
+        replace_file(
+            os.path.join(folder, FILE_NAME), MAGIC + zlib.crc32(body).to_bytes(CHECKSUM_BYTES) + body
+        )
     except OSError as error:
         log(f"health hand-over not written: {error.strerror}")
         return False
@@ -87,10 +87,10 @@
     return record
 
 
-def read(folder: Path, gateway: str, now_us: int) -> HandoverRecord | None:
+def read(folder: StrPath, gateway: str, now_us: int) -> HandoverRecord | None:
     """Return the record that the predecessor has written; None if there is no usable one."""
     try:
-        with open(folder / FILE_NAME, "rb") as file:
+        with open(os.path.join(folder, FILE_NAME), "rb") as file:
             return parse(file.read(READ_BYTES), gateway, now_us)
     except OSError:
         return None
--- a/sagetrack/server/endpoint_list_file.py
+++ b/sagetrack/server/endpoint_list_file.py
@@ -10,10 +10,10 @@
 import json
 import os
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from sagetrack.config.platform import Address
+from sagetrack.core.files import StrPath, replace_file
 from sagetrack.core.log import log
 from sagetrack.discovery.endpoint_list_json import encode_endpoint_list
 
@@ -31,7 +31,7 @@
     Without a folder, all methods do nothing. Only `schedule_write` requires a running event loop.
     """
 
-    def __init__(self, folder: Path | None) -> None:
+    def __init__(self, folder: StrPath | None) -> None:
         self.folder = folder
         self._pending: tuple[Address, EndpointListSource] | None = None
         self._rate_limit_timer: asyncio.TimerHandle | None = None  # no write is made while it is set
@@ -77,10 +77,8 @@
         )
         if len(data) > MAX_BYTES:
             return
-        temporary = self.folder / f"{FILE_NAME}.{os.getpid()}"
         try:
-            temporary.write_bytes(data)
-            os.replace(temporary, self.folder / FILE_NAME)
+            replace_file(os.path.join(self.folder, FILE_NAME), data)
         except OSError as error:
             log(f"endpoint list not passed to the successor process: {error.strerror}")
 
@@ -104,7 +102,7 @@
         if self.folder is None:
             return configured
         try:
-            with open(self.folder / FILE_NAME, "rb") as file:
+            with open(os.path.join(self.folder, FILE_NAME), "rb") as file:
                 content = json.loads(file.read(MAX_BYTES + 1))
             inherited: dict[str, Any] = content["known"]
             is_same_service = content["discovery"] == list(discovery)
--- a/sagetrack/server/health_handover.py
+++ b/sagetrack/server/health_handover.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from pathlib import Path
 
 from sagetrack.config.platform import Config
 from sagetrack.core.clock import now_us, system_monotonic_us
@@ -33,7 +32,7 @@
             gateway: Provides the observations and receives those of the predecessor.
         """
         assert hot_restart.folder is not None
-        self.folder: Path = hot_restart.folder
+        self.folder = hot_restart.folder
         self.hot_restart = hot_restart
         self.config = config
         self.gateway = gateway
--- a/sagetrack/server/hot_restart.py
+++ b/sagetrack/server/hot_restart.py
@@ -11,7 +11,6 @@
 import os
 import re
 from contextlib import suppress
-from pathlib import Path
 
 from sagetrack.core.log import log
 from sagetrack.server.endpoint_list_file import EndpointListFile
@@ -25,12 +24,12 @@
     """The marker of this process, those of its siblings, and the endpoint list passed between them."""
 
     def __init__(self, folder: str | None) -> None:
-        self.folder = Path(folder) if folder else None
+        self.folder = folder or None
         self.endpoint_list = EndpointListFile(self.folder)
         self.sibling_count = 0  # running sibling processes
         self.serving_sibling_count = 0  # sibling processes that accept connections
         self._descriptor: int | None = None
-        self._marker: Path | None = None
+        self._marker = ""  # name of the marker file; empty if there is none
 
     def join(self) -> None:
         """Create the marker of this process and count the siblings.
@@ -40,11 +39,12 @@
         """
         if self.folder is None:
             return
-        temporary = self.folder / f"sagetrack-{os.getpid()}.new"
+        temporary = f"sagetrack-{os.getpid()}.new"
         try:
-            self._descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+            flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+            self._descriptor = os.open(os.path.join(self.folder, temporary), flags, 0o600)
             fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            self._rename(temporary, NOT_SERVING)
+            self._rename(self.folder, temporary, NOT_SERVING)
         except OSError as error:
             log(f"hot restart disabled, TMPDIR {self.folder} cannot be used: {error.strerror}")
             self.folder = None
@@ -65,16 +65,16 @@
 
     def _mark(self, state: str) -> None:
         """Change the state that siblings see; if that fails, they continue to see the previous one."""
-        if self._marker is None:
+        if self.folder is None or not self._marker:
             return
         try:
-            self._rename(self._marker, state)
+            self._rename(self.folder, self._marker, state)
         except OSError as error:
             log(f"hot restart marker in {self.folder} not updated: {error.strerror}", "warning")
 
-    def _rename(self, old: Path, state: str) -> None:
-        new = old.with_name(f"sagetrack-{os.getpid()}.{state}")
-        os.replace(old, new)
+    def _rename(self, folder: str, old: str, state: str) -> None:
+        new = f"sagetrack-{os.getpid()}.{state}"
+        os.replace(os.path.join(folder, old), os.path.join(folder, new))
         self._marker = new
 
     def refresh(self) -> None:
@@ -82,7 +82,7 @@
 
         The counts do not change if the folder cannot be read, for example because no descriptor is left.
         """
-        if self.folder is None or self._marker is None:
+        if self.folder is None or not self._marker:
             return
         sibling_count = 0
         serving_count = 0
@@ -92,16 +92,16 @@
             return
         for name in names:
             marker = MARKER_NAME.fullmatch(name)
-            if marker is None or name == self._marker.name:
+            if marker is None or name == self._marker:
                 continue
-            if self._is_locked(self.folder / name):
+            if self._is_locked(os.path.join(self.folder, name)):
                 sibling_count += 1
                 serving_count += marker[2] == SERVING
         self.sibling_count = sibling_count
         self.serving_sibling_count = serving_count
 
     @staticmethod
-    def _is_locked(path: Path) -> bool:
+    def _is_locked(path: str) -> bool:
         """Return whether a process holds this marker, or might; a stale marker is removed."""
         try:
             descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC)
@@ -116,16 +116,16 @@
         finally:
             os.close(descriptor)
         with suppress(OSError):
-            path.unlink(missing_ok=True)
+            os.unlink(path)
         return False
 
     def release(self) -> None:
         """Write a pending endpoint list, unless a sibling is serving, and remove this process's marker."""
         # A serving sibling writes its own list, which is newer.
         self.endpoint_list.close(write_pending=not self.serving_sibling_count)
-        if self._descriptor is not None and self._marker is not None:
+        if self._descriptor is not None and self.folder is not None:
             with suppress(OSError):  # the next process removes a marker that remains, as it has no lock
-                self._marker.unlink(missing_ok=True)
+                os.unlink(os.path.join(self.folder, self._marker))
             os.close(self._descriptor)
             self._descriptor = None
-            self._marker = None
+            self._marker = ""
--- a/sagetrack/server/process.py
+++ b/sagetrack/server/process.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from contextlib import nullcontext, suppress
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,15 @@
         configuration cannot be used.
     """
     early_reloads = _install_startup_signal_handlers()
+    from sagetrack.server.unused_modules import without_unused_modules
+
+    with without_unused_modules():
+        start = _prepare(early_reloads)
+    return start()
+
+
+def _prepare(early_reloads: list[int]) -> Callable[[], int]:
+    """Read the configuration and load the other modules; the result runs the gateway until it ends."""
     from sagetrack.core.log import unbuffered_stderr
     from sagetrack.server.exit_status import CONFIGURATION_UNUSABLE
     from sagetrack.server.startup_timing import StartupTiming
@@ -47,14 +57,15 @@
     except StartupError as error:
         for line in error.lines:
             _print_fault(line)
-        return CONFIGURATION_UNUSABLE
+        return lambda: CONFIGURATION_UNUSABLE
     with nullcontext() if operator is not None and operator.newer.tls else without_tls():
         if operator is not None:
             _configure_logging(operator.log, config.name)
         from sagetrack.server.lifecycle import GatewayProcess, run_on_event_loop
 
     timing.end_phase("imports")
-    return run_on_event_loop(GatewayProcess(config, operator, operator_path, timing, early_reloads))
+    process = GatewayProcess(config, operator, operator_path, timing, early_reloads)
+    return lambda: run_on_event_loop(process)
 
 
 def _install_startup_signal_handlers() -> list[int]:
--- a/sagetrack/server/tls_placeholder.py
+++ b/sagetrack/server/tls_placeholder.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, nullcontext
 from types import ModuleType
-from typing import Any
+
+from sagetrack.server.module_placeholders import placeholders
 
 TLS_MODULE = "ssl"
 OPENSSL_HASH_MODULE = "_hashlib"
@@ -32,20 +32,12 @@
     """TLS was used in a process that was started without it."""
 
 
-@contextmanager
-def without_tls() -> Iterator[None]:
+def without_tls() -> AbstractContextManager[None]:
     """Import asyncio, uvloop and hashlib without the TLS library; has no effect if it is already loaded."""
     if TLS_MODULE in sys.modules or OPENSSL_HASH_MODULE in sys.modules:
-        yield
-        return
-    modules: dict[str, Any] = sys.modules
-    modules[TLS_MODULE] = _placeholder()
-    modules[OPENSSL_HASH_MODULE] = None  # makes its import fail, for which hashlib has a fallback
-    try:
-        yield
-    finally:
-        del modules[TLS_MODULE]
-        del modules[OPENSSL_HASH_MODULE]
+        return nullcontext()
+    # Without the second module, hashlib falls back on the functions of the interpreter.
+    return placeholders({TLS_MODULE: _placeholder(), OPENSSL_HASH_MODULE: None})
 
 
 def _placeholder() -> ModuleType:
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -14,6 +14,7 @@
 
 from sagetrack.config.platform import NameIndices
 from sagetrack.core.deadlines import discovery_timeouts
+from sagetrack.core.files import StrPath
 from sagetrack.discovery import endpoint_list_json
 from sagetrack.discovery.client import DiscoveryClient
 from sagetrack.policy import endpoints
@@ -322,8 +323,8 @@
         self.lists, self.entries = 0, 0
         original_replace, original_encode = os.replace, endpoint_list_json.encode_endpoint
 
-        def counting_replace(old: Path, new: Path) -> None:
-            self.lists += new.name == FILE_NAME
+        def counting_replace(old: StrPath, new: StrPath) -> None:
+            self.lists += Path(new).name == FILE_NAME
             original_replace(old, new)
 
         def counting_encode(item: dict[str, Any]) -> Any:
