Drop the assumption that a body was sent once everything has been read without its end

Cause: a full receive buffer was taken for the end of a body, also that of a client that stops half way. Its attempt timed out after the server had read all there was, which counts against the server, and breakers opened.

Change: the assumption is kept per connection and dropped when everything that has arrived was read; the timeout stops and starts anew with the next sign of the end.

--- a/sagetrack/core/bodies.py
+++ b/sagetrack/core/bodies.py
@@ -55,6 +55,7 @@
         on_capacity: Called when the sender may continue.
         on_complete: Called when the last byte was received.
         on_arrived: Called when `arrived_us` is set, and so at the latest before `on_complete`.
+        on_not_arrived: Called when `arrived_us` is 0 again.
     """
 
     __slots__ = (
@@ -72,6 +73,7 @@
         "on_capacity",
         "on_complete",
         "on_data",
+        "on_not_arrived",
         "received",
         "unread_at_check",
     )
@@ -95,6 +97,7 @@
         self.on_capacity: Callable[[], None] = do_nothing
         self.on_complete: Callable[[], None] = do_nothing
         self.on_arrived: Callable[[], None] = do_nothing
+        self.on_not_arrived: Callable[[], None] = do_nothing
 
     @property
     def is_full(self) -> bool:
@@ -147,6 +150,12 @@
             self.arrived_us = at_us
             self.on_arrived()
 
+    def unmark_arrived(self) -> None:
+        """Record that the client is still sending, as its body was taken for complete too early."""
+        if self.arrived_us and not self.is_finished:
+            self.arrived_us = 0
+            self.on_not_arrived()
+
     def abort(self) -> None:
         """Mark the body as aborted unless it is complete, and drop the buffered data."""
         if not self.is_finished:
@@ -160,6 +169,7 @@
         self.on_data = do_nothing
         self.on_complete = do_nothing
         self.on_arrived = do_nothing
+        self.on_not_arrived = do_nothing
         self.chunks.clear()
         self._set_buffered(0)
         self.on_capacity()
--- a/sagetrack/http1/attempt.py
+++ b/sagetrack/http1/attempt.py
@@ -93,6 +93,7 @@
     connection: AttemptConnection | None = None
     connect_task: asyncio.Task[object] | None = None
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
+    timeout_timer: asyncio.TimerHandle | None = None
     ended: bool = False
 
     @property
@@ -108,6 +109,18 @@
             since_us = max(since_us, self.streamed_body.arrived_us or now_us())
         return self.timeout_us - (now_us() - since_us)
 
+    def cancel_timers(self) -> None:
+        """Cancel all timers of the attempt."""
+        self.stop_timeout()
+        for timer in self.timers:
+            timer.cancel()
+
+    def stop_timeout(self) -> None:
+        """Cancel the timer of the timeout, if it runs."""
+        if self.timeout_timer is not None:
+            self.timeout_timer.cancel()
+            self.timeout_timer = None
+
     def record_progress(self) -> None:
         """Record that a part of a streamed body was transferred, so that the attempt has not stalled."""
         self.last_progress_us = now_us()
@@ -117,18 +130,17 @@
         self.is_streaming = True
         self.last_progress_us = now_us()
         self.latency_us = self.last_progress_us - self.sent_us
-        for timer in self.timers:
-            timer.cancel()
+        self.cancel_timers()
 
     def finish(self) -> None:
         """Mark the attempt as ended, and release its timers, connection and body callbacks."""
         self.ended = True
         if not self.is_streaming:
             self.latency_us = now_us() - self.sent_us
-        for timer in self.timers:
-            timer.cancel()
+        self.cancel_timers()
         if self.streamed_body is not None:
             self.streamed_body.on_data = do_nothing
             self.streamed_body.on_arrived = do_nothing
+            self.streamed_body.on_not_arrived = do_nothing
         self.connection = None
         self.connect_task = None
--- a/sagetrack/http1/attempt_runner.py
+++ b/sagetrack/http1/attempt_runner.py
@@ -51,20 +51,20 @@
     def send(self, attempt: Attempt) -> None:
         """Start an attempt on an idle connection, or on a new one if none is available."""
         attempt.sent_us = now_us()
-        call_later = self.loop.call_later
         streamed_body = attempt.streamed_body
         if streamed_body is None or streamed_body.arrived_us:
-            attempt.timers.append(call_later(attempt.timeout_us / 1e6, self.on_timeout, attempt))
-        else:  # the timeout of a request starts with its last byte
-            timeout_s = attempt.timeout_us / 1e6
-            streamed_body.on_arrived = lambda: attempt.timers.append(
-                call_later(timeout_s, self.on_timeout, attempt)
-            )
+            self.start_timeout(attempt)
         if streamed_body is not None:
+            streamed_body.on_arrived = lambda: self.start_timeout(attempt)
+            streamed_body.on_not_arrived = attempt.stop_timeout
             attempt.record_progress()
             self.transferring.add(attempt)
         self.assign(attempt)
 
+    def start_timeout(self, attempt: Attempt) -> None:
+        """Start the timeout of an attempt, which runs from the last byte of the request."""
+        attempt.timeout_timer = self.loop.call_later(attempt.timeout_us / 1e6, self.on_timeout, attempt)
+
     def assign(self, attempt: Attempt) -> None:
         """Assign a connection to an attempt: an idle one, one that may be reused soon, or a new one."""
         upstream = attempt.upstream
--- a/sagetrack/http1/body_arrival.py
+++ b/sagetrack/http1/body_arrival.py
@@ -13,6 +13,7 @@
 import termios
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager, suppress
+from enum import Enum
 from typing import Protocol
 
 from sagetrack.core.bodies import StreamedBody
@@ -48,26 +49,61 @@
         """The request parser."""
 
 
-def check_arrivals(connections: Iterable[PausedConnection]) -> None:
-    """Mark the bodies whose last byte has arrived, or may wait in the client's send buffer."""
-    for connection in connections:
-        body = connection.reader.streamed_body
-        if body is not None and not body.arrived_us and _may_be_sent(connection, body):
-            body.mark_arrived(now_us())
+class ArrivalCheck:
+    """Marks the bodies whose last byte has arrived, or may wait in the client's send buffer.
 
+    The latter is an assumption. It is dropped once all that the client has sent was read without the end.
+    """
 
-def _may_be_sent(connection: PausedConnection, body: StreamedBody) -> bool:
-    """Return whether the client may have written the last byte of a body."""
+    def __init__(self) -> None:
+        self._assumed: dict[PausedConnection, StreamedBody] = {}
+
+    def check(self, paused: Iterable[PausedConnection]) -> None:
+        """Check the connections on which reading is paused, and those with an assumption."""
+        for connection, body in list(self._assumed.items()):
+            if body.is_finished or _has_read_all(connection):
+                del self._assumed[connection]
+                body.unmark_arrived()
+        for connection in paused:
+            paused_body = connection.reader.streamed_body
+            if paused_body is None or paused_body.arrived_us:
+                continue
+            arrival = _arrival(connection, paused_body)
+            if arrival is Arrival.ASSUMED:
+                self._assumed[connection] = paused_body
+            if arrival is not Arrival.NO:
+                paused_body.mark_arrived(now_us())
+
+
+class Arrival(Enum):
+    """Whether the last byte of a body has been sent."""
+
+    NO = "no"
+    ASSUMED = "assumed"  # it may wait in the client's send buffer
+    YES = "yes"  # it waits in the receive buffer
+
+
+def _arrival(connection: PausedConnection, body: StreamedBody) -> Arrival:
+    """Return whether the client has written, or may have written, the last byte of a body."""
     descriptor = connection.descriptor
     unread = unread_bytes(descriptor)
     if body.length is None:
         # How much of a chunked body is missing is unknown. While a server takes it, the client is assumed to
         # be sending still.
-        return _ends_with_last_chunk(connection, body, unread) or (
-            not body.forwarding_started and _is_full(descriptor, unread)
-        )
-    missing = body.length - body.received - len(connection.reader.unparsed) - unread
-    return missing <= 0 or (missing <= CLIENT_SEND_BUFFER_BYTES and _is_full(descriptor, unread))
+        if _ends_with_last_chunk(connection, body, unread):
+            return Arrival.YES
+        may_be_sent = not body.forwarding_started
+    else:
+        missing = body.length - body.received - len(connection.reader.unparsed) - unread
+        if missing <= 0:
+            return Arrival.YES
+        may_be_sent = missing <= CLIENT_SEND_BUFFER_BYTES
+    return Arrival.ASSUMED if may_be_sent and _is_full(descriptor, unread) else Arrival.NO
+
+
+def _has_read_all(connection: PausedConnection) -> bool:
+    """Return whether everything that has arrived on a connection was read and parsed."""
+    return not connection.reader.unparsed and unread_bytes(connection.descriptor) == 0
 
 
 def unread_bytes(descriptor: int) -> int:
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -15,7 +15,7 @@
 from sagetrack.core.processes import NoSiblings, SiblingProcesses
 from sagetrack.core.send_rules import CloseReason, may_accept_clients
 from sagetrack.http1.acceptor import BACKLOG, Acceptor
-from sagetrack.http1.body_arrival import ARRIVAL_CHECK_S, check_arrivals
+from sagetrack.http1.body_arrival import ARRIVAL_CHECK_S, ArrivalCheck
 from sagetrack.http1.client_closes import DRAINED
 from sagetrack.http1.connection_pool import ConnectionPools
 from sagetrack.http1.descriptors import DescriptorBudget
@@ -56,6 +56,7 @@
         )
         self.describe_peers: Callable[[], list[str]] = lambda: ["messages between gateways are off"]
         self.sweep_timer: asyncio.TimerHandle | None = None
+        self.arrival_check = ArrivalCheck()
         self.arrival_timer: asyncio.TimerHandle | None = None
         self.drain_timer: asyncio.TimerHandle | None = None
         gateway.metrics.metric_sources += [
@@ -121,7 +122,7 @@
 
     def check_arrivals(self) -> None:
         """Check repeatedly which bodies have arrived on connections on which reading is paused."""
-        check_arrivals(list(self.context.paused))
+        self.arrival_check.check(list(self.context.paused))
         self.arrival_timer = asyncio.get_running_loop().call_later(ARRIVAL_CHECK_S, self.check_arrivals)
 
     def _apply_process_count(self) -> None:
--- a/tests/test_body_arrival.py
+++ b/tests/test_body_arrival.py
@@ -6,14 +6,15 @@
 import socket
 from dataclasses import dataclass, field
 from time import monotonic
+from typing import cast
 
 import pytest
 
 from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.memory_budget import MemoryBudget
-from sagetrack.http1.body_arrival import check_arrivals
+from sagetrack.http1.body_arrival import ArrivalCheck
 from sagetrack.lab.stand_ins.listener import SilenceableListener
-from tests.sockets import configuration, on_event_loop, request, running_gateway
+from tests.sockets import configuration, http_response, on_event_loop, request, running_gateway
 
 LENGTH = 100_000  # with what this process buffers, little enough to arrive while it does not read
 BUDGET_MS = 400
@@ -29,7 +30,7 @@
     unparsed: bytes = b""
 
 
-@dataclass
+@dataclass(eq=False)
 class Connection:
     descriptor: int
     reader: Reader = field(default_factory=lambda: Reader(StreamedBody(1_000, MemoryBudget(64))))
@@ -44,13 +45,14 @@
         body.feed(b"x" * 400)
         connection.reader.unparsed = b"x" * 100
         sender.sendall(b"x" * 499)
-        check_arrivals([connection])
+        arrival_check = ArrivalCheck()
+        arrival_check.check([connection])
         assert not body.arrived_us
         sender.sendall(b"x")
-        check_arrivals([connection])
+        arrival_check.check([connection])
         first_us = body.arrived_us
         assert first_us
-        check_arrivals([connection])
+        arrival_check.check([connection])
         body.complete()
         assert body.arrived_us == first_us
 
@@ -91,6 +93,38 @@
             client.close()
 
 
+LAST_BYTE = b"!"
+
+
+class BodyReceiver(asyncio.Protocol):
+    """Responds with 200 to the last byte of a body."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's class is not a subclass of it
+
+    def data_received(self, data: bytes) -> None:
+        if data.endswith(LAST_BYTE):
+            self.transport.write(http_response(200, b"ok"))
+
+
+# Guards against a client that is still sending and gets an error, as its body was taken for sent.
+@on_event_loop
+async def test_a_body_that_was_taken_for_sent_too_early_gets_its_whole_time() -> None:
+    server = SilenceableListener("127.0.0.1", BodyReceiver)
+    server.mute()
+    async with running_gateway(configuration(server.address)) as run:
+        client = await run.connect()
+        data = request("transfer", bytes(LONG_BODY), budget_ms=1_500)
+        client.send(data[:-1])
+        await asyncio.sleep(CONNECT_AFTER_S)
+        server.unmute()
+        await asyncio.sleep(2.5 - CONNECT_AFTER_S)  # past the time since the receive buffer was full
+        client.send(LAST_BYTE)
+        assert (await client.read_response()).status == 200
+        client.close()
+    server.close()
+
+
 class HeadRecorder(asyncio.Protocol):
     """Records the first bytes of each connection."""
 
