A successor with its predecessor's process ID learns the predecessor's request ids

Callers would see a request run twice when its id comes again after a restart in which the new process has the ID of the old one, as where each start has its own namespace of process IDs.

Cause: the file of recent ids is named by the process ID, each process skips the file with its own name and writes over it. Related: an expired file was removed if no process with that ID was seen, though a sibling may be in another namespace; now nothing is removed beside a sibling.

Both new tests fail without the change.

--- a/sagetrack/server/recent_request_files.py
+++ b/sagetrack/server/recent_request_files.py
@@ -68,13 +68,22 @@
         except OSError:
             return entries
         for name in names:
-            if FILE_NAME.fullmatch(name) and name != self._own_name:
+            if FILE_NAME.fullmatch(name) and not self._is_own(name):
                 with suppress(OSError):
                     entries += self._read_new(name)
         return entries
 
+    def _is_own(self, name: str) -> bool:
+        """Return whether this process has written a file; a predecessor may have had the same process ID."""
+        return name == self._own_name and self._descriptor is not None
+
     def remove_expired(self) -> None:
-        """Remove files of ended processes in which every record has expired."""
+        """Remove files of ended processes in which every record has expired.
+
+        While siblings run nothing is removed: they may be in another namespace of process IDs.
+        """
+        if self._has_siblings():
+            return
         for name in list(self._positions):
             pid = int(name.removeprefix("sagetrack-recent-").removesuffix(".bin"))
             if os.path.exists(f"/proc/{pid}"):
--- a/tests/test_recent_requests.py
+++ b/tests/test_recent_requests.py
@@ -9,7 +9,13 @@
 import pytest
 
 from sagetrack.core import recent_requests as recent_module
-from sagetrack.core.recent_requests import MAX_ENTRIES, RecentRequests, retention_us
+from sagetrack.core.recent_requests import (
+    FORGOTTEN_US,
+    KEY_BYTES,
+    MAX_ENTRIES,
+    RecentRequests,
+    retention_us,
+)
 from sagetrack.policy.settings import Effect, RequestClass
 from sagetrack.server.recent_request_files import MAX_FILE_BYTES, RECORD, RecentRequestFiles
 from tests.sockets import (
@@ -128,6 +134,35 @@
     assert new.may_run("b", UNSAFE)
 
 
+# Guards against a successor that takes its predecessor's file for its own, as both have the same process ID.
+def test_a_successor_with_the_process_id_of_its_predecessor_learns_its_entries(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    predecessor = exchange(tmp_path, 1, monkeypatch)
+    predecessor.remember("before", UNSAFE)
+    successor = exchange(tmp_path, 1, monkeypatch)
+    assert not successor.may_run("before", UNSAFE)
+    successor.remember("after", UNSAFE)
+    sibling = exchange(tmp_path, 2, monkeypatch)
+    assert not sibling.may_run("before", UNSAFE) and not sibling.may_run("after", UNSAFE)
+
+
+def test_the_file_of_a_process_in_another_namespace_is_kept(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    siblings = 1
+    first = RecentRequestFiles(str(tmp_path), list, lambda: siblings > 0)
+    monkeypatch.setattr(first, "_own_name", "sagetrack-recent-4194305.bin")  # no process here has this ID
+    first.publish(b"k" * KEY_BYTES, FORGOTTEN_US)
+    second = RecentRequestFiles(str(tmp_path), list, lambda: siblings > 0)
+    second.poll()
+    second.remove_expired()
+    assert (tmp_path / first._own_name).exists()
+    siblings = 0
+    second.remove_expired()
+    assert not (tmp_path / first._own_name).exists()
+
+
 def test_a_long_file_is_written_anew_and_still_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     old, new = exchange(tmp_path, 1, monkeypatch), exchange(tmp_path, 2, monkeypatch)
     count = MAX_FILE_BYTES // RECORD.size
