SIGHUP does not end a process that is just starting

Cause: the default action of SIGHUP ends a process until the program has installed its handler, about 15 ms after exec.

--- a/sagetrack/lab/processes/child_process.py
+++ b/sagetrack/lab/processes/child_process.py
@@ -16,6 +16,12 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def prepare_gateway() -> None:
+    """Prepare the start of a gateway as the deploy file's `run` does. Used as `preexec_fn`."""
+    die_with_parent()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def require_file_descriptors(count: int) -> None:
     """Raise this process's soft limit of open files to at least `count`.
 
--- a/sagetrack/lab/processes/gateway_process.py
+++ b/sagetrack/lab/processes/gateway_process.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from sagetrack.lab.errors import LabError
-from sagetrack.lab.processes.child_process import die_with_parent
+from sagetrack.lab.processes.child_process import prepare_gateway
 from sagetrack.lab.processes.resource_usage import cpu_s, memory_mb
 from sagetrack.lab.repository import ROOT
 
@@ -78,7 +78,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=die_with_parent,
+                preexec_fn=prepare_gateway,
             )
 
     @property
--- a/sagetrack/lab/soak/process_supervisor.py
+++ b/sagetrack/lab/soak/process_supervisor.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from sagetrack.lab.processes.child_process import die_with_parent
+from sagetrack.lab.processes.child_process import die_with_parent, prepare_gateway
 from sagetrack.lab.repository import ROOT
 
 MODULE_PACKAGE = "sagetrack.lab.soak"
@@ -59,7 +59,7 @@
                 stdout=output,
                 stderr=output,
                 pass_fds=[listener_fd],
-                preexec_fn=die_with_parent,
+                preexec_fn=prepare_gateway,
             )
         self._processes.append(process)
         return process
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import tomllib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -175,6 +176,32 @@
     os.close(end)
 
 
+# Guards against a process that a new configuration ends right after its start, soak seed 4005.
+@on_event_loop
+async def test_a_new_configuration_during_the_start_does_not_end_the_process(tmp_path: Path) -> None:
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert ".venv/bin/python" in run
+    async with scripted_server() as upstream:
+        port = free_port()
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(upstream) | {"listen": f"127.0.0.1:{port}"}))
+        process = await asyncio.create_subprocess_exec(
+            *("/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)),
+            cwd=ROOT,
+            env=os.environ | {"LB_CONFIG": str(file)},
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        command_line = Path(f"/proc/{process.pid}/cmdline")
+        await wait_until(lambda: command_line.read_bytes().startswith(sys.executable.encode()))
+        while await fetch_status(port, READY) != 200:
+            assert process.returncode is None
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+        process.kill()
+        await process.wait()
+
+
 INVALID_CONFIGURATIONS: list[tuple[str | None, str]] = [
     (None, "No such file"),
     ("", "not JSON"),
