Soak: a server at a known address has its own group; two more planted faults

Change: a server that replaces a deleted one belongs to another group; the oracle compares the groups as the gateway can know them at each attempt (an excuse while discovery is out of reach, with a test). A run may be limited to some kinds of faults.

--- a/sagetrack/lab/soak/discovery.py
+++ b/sagetrack/lab/soak/discovery.py
@@ -49,12 +49,12 @@
     @property
     def group(self) -> int:
         """The server's idempotency group."""
-        return group_of(self.server)
+        return group_of(self.server, self.generation)
 
 
-def group_of(server: int) -> int:
-    """Return the idempotency group of a server."""
-    return server % GROUPS
+def group_of(server: int, generation: int = 0) -> int:
+    """Return the idempotency group of a server, which differs from that of the former one at its address."""
+    return (server + generation) % GROUPS
 
 
 class Change(NamedTuple):
--- a/sagetrack/lab/soak/fault_injection.py
+++ b/sagetrack/lab/soak/fault_injection.py
@@ -13,7 +13,14 @@
 from sagetrack.lab.soak.fleet import Fleet, set_behaviour
 from sagetrack.lab.soak.gateway import Gateway
 from sagetrack.lab.soak.gateway_lifecycle import GatewayLifecycle
-from sagetrack.lab.soak.history import US_PER_S, GatewaySpan, History, Restart, Withdrawal
+from sagetrack.lab.soak.history import (
+    US_PER_S,
+    GatewaySpan,
+    History,
+    Replacement,
+    Restart,
+    Withdrawal,
+)
 from sagetrack.lab.soak.proxy import FaultCommand, RouteFault
 from sagetrack.lab.soak.server import Behaviour
 from sagetrack.lab.soak.shim import NO_FAULTS, SystemCallFaults
@@ -192,10 +199,13 @@
         await asyncio.sleep(SERVER_LISTING_DELAY_S)
         withdrawal.until_us = now_us()
         self._history.restarts.append(Restart(server, now_us()))
-        deleted = self._fleet.endpoint_list.endpoints[server].status is EndpointStatus.DELETED
-        self._fleet.endpoint_list.set_status(
-            server, EndpointStatus.SERVING, restarted=True, renamed=deleted and server % 2 == 0
-        )
+        endpoints = self._fleet.endpoint_list
+        deleted = endpoints.endpoints[server].status is EndpointStatus.DELETED
+        replaced = deleted and server % 2 == 0
+        endpoints.set_status(server, EndpointStatus.SERVING, restarted=True, renamed=replaced)
+        if replaced:
+            group = endpoints.endpoints[server].group
+            self._history.replacements.append(Replacement(server, now_us(), group))
         self._withdrawn_servers.discard(server)
 
     async def _misbehave(self, fault: ScheduledFault) -> None:
--- a/sagetrack/lab/soak/fault_schedule.py
+++ b/sagetrack/lab/soak/fault_schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -109,8 +110,10 @@
                 return ""
 
 
-def generate_schedule(seed: int, seconds: float, gateways: int, servers: int) -> list[ScheduledFault]:
-    """Draw the faults of a run, ordered by start time. The same arguments give the same schedule.
+def generate_schedule(
+    seed: int, seconds: float, gateways: int, servers: int, kinds: Sequence[FaultKind] = tuple(WEIGHTS)
+) -> list[ScheduledFault]:
+    """Draw faults of these kinds, ordered by start time. The same arguments give the same schedule.
 
     A fault starts every `MEAN_GAP_S` on average. A fault that ends a gateway's process is omitted while an
     earlier one of the same gateway may still be in progress.
@@ -120,7 +123,7 @@
     restarting_until_s = dict.fromkeys(range(gateways), 0.0)
     at_s = QUIET_S
     while at_s < seconds - QUIET_S:
-        kind = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        kind = rng.choices(kinds, [WEIGHTS[kind] for kind in kinds])[0]
         gateway = rng.randrange(gateways)
         server = rng.randrange(servers)
         duration_s = rng.uniform(*DURATIONS_S.get(kind, USUAL_DURATION_S))
--- a/sagetrack/lab/soak/fleet.py
+++ b/sagetrack/lab/soak/fleet.py
@@ -13,6 +13,7 @@
 
 from sagetrack.lab.processes.resource_usage import free_port
 from sagetrack.lab.soak.discovery import DiscoveryAgent, EndpointList
+from sagetrack.lab.soak.fault_schedule import WEIGHTS, FaultKind
 from sagetrack.lab.soak.gateway import Gateway
 from sagetrack.lab.soak.gateway_configuration import GatewayLimits
 from sagetrack.lab.soak.process_supervisor import ProcessSupervisor, send_line
@@ -32,6 +33,7 @@
     seconds: float = 12.0  # duration of the fault schedule
     gateway_module: str = "sagetrack"  # the module that a gateway process runs
     memory_mb: int = 96  # memory limit of a gateway
+    kinds: tuple[FaultKind, ...] = tuple(WEIGHTS)  # of the faults
 
 
 class ClientsEndedError(RuntimeError):
--- a/sagetrack/lab/soak/history.py
+++ b/sagetrack/lab/soak/history.py
@@ -9,10 +9,13 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from sagetrack.lab.soak.events import AttemptReceived
+
 US_PER_S = 1_000_000  # microseconds per second
 SYSTEM_CALL_FAULT_GRACE_S = 6.0  # allowed delay until a gateway with failing system calls learns of a change
 ACCEPT_AFTER_SIGTERM_S = 0.7  # requests sent within this time after SIGTERM must still get a response
 SIGTERM_EXCUSE_S = 6.0  # requests sent later than that, but within this time, need not get a response
+REPLACEMENT_GRACE_S = 2.3  # time until a gateway that is told of a replacement sends by it
 KILL_BEFORE_REQUEST_S = 0.2  # a kill up to this time before a request excuses its missing response
 
 
@@ -40,6 +43,15 @@
     until_us: int | None = None  # when it was listed as serving again; None if it was not
 
 
+@dataclass(slots=True, frozen=True)
+class Replacement:
+    """Another server, of another idempotency group, that has come up at the address of a deleted one."""
+
+    server: int
+    at_us: int  # when discovery listed it
+    group: int
+
+
 @dataclass(slots=True)
 class Restart:
     """The restart of a server. `at_us` is the start of its slow start."""
@@ -59,7 +71,8 @@
     system_call_faults: list[GatewaySpan] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
     restarts: list[Restart] = field(default_factory=list)
-    server_groups: dict[int, int] = field(default_factory=dict)  # idempotency group by server
+    server_groups: dict[int, int] = field(default_factory=dict)  # idempotency group by server, at the start
+    replacements: list[Replacement] = field(default_factory=list)  # in order of time
     crashes: list[str] = field(default_factory=list)
     leaks: list[str] = field(default_factory=list)
     counted_violations: list[str] = field(default_factory=list)  # from the gateways' own metrics
@@ -94,6 +107,22 @@
             span.gateway == gateway and span.from_us < until_us and span.to_us > from_us for span in self.down
         )
 
+    def share_a_group(self, earlier: AttemptReceived, later: AttemptReceived) -> bool:
+        """Return whether two attempts were sent to servers of one idempotency group, as far as known then."""
+        return not self._known_groups(earlier).isdisjoint(self._known_groups(later))
+
+    def _known_groups(self, attempt: AttemptReceived) -> set[int]:
+        """Return the group of an attempt's server, and former ones if the gateway may not know yet."""
+        groups = {self.server_groups[attempt.server]}
+        for replacement in self.replacements:
+            if replacement.server != attempt.server or replacement.at_us > attempt.at_us:
+                continue
+            known_us = self.change_known_us(attempt.gateway, replacement.at_us)
+            if attempt.at_us > known_us + REPLACEMENT_GRACE_S * US_PER_S:
+                groups.clear()
+            groups.add(replacement.group)
+        return groups
+
     def may_have_lost_a_file_write(self, gateway: int, at_us: int) -> bool:
         """Return True if the gateway's system calls failed at this time."""
         return any(
--- a/sagetrack/lab/soak/oracle.py
+++ b/sagetrack/lab/soak/oracle.py
@@ -179,7 +179,7 @@
     for earlier, later in combinations(trace.attempts_received, 2):
         if trace.rejected_by(earlier.server):
             continue
-        same_group = history.server_groups[later.server] == history.server_groups[earlier.server]
+        same_group = history.share_a_group(earlier, later)
         apart_s = (later.at_us - earlier.at_us) / US_PER_S
         if class_name == "transfer" or (class_name == "reserve" and not same_group):
             where = f"at servers {earlier.server} and {later.server}"
@@ -200,7 +200,7 @@
     for earlier, later in combinations(trace.attempts_received, 2):
         if history.may_have_lost_a_file_write(earlier.gateway, earlier.at_us):
             continue
-        same_group = history.server_groups[later.server] == history.server_groups[earlier.server]
+        same_group = history.share_a_group(earlier, later)
         if trace.repeated.class_name == "reserve" and same_group:
             continue
         if not trace.rejected_by(earlier.server):
--- a/sagetrack/lab/soak/run.py
+++ b/sagetrack/lab/soak/run.py
@@ -35,7 +35,7 @@
         self._size = size
         self._folder = folder
         self._library = library
-        self._faults = generate_schedule(seed, size.seconds, size.gateways, size.servers)
+        self._faults = generate_schedule(seed, size.seconds, size.gateways, size.servers, size.kinds)
         server_groups = {server: group_of(server) for server in range(size.servers)}
         self._history = History(server_groups=server_groups)
         self._fleet = Fleet(seed, size, folder, library)
--- a/tests/planted_fault.py
+++ b/tests/planted_fault.py
@@ -10,18 +10,26 @@
 import os
 import sys
 from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
 
+from sagetrack.config.platform import Address, NameIndices
 from sagetrack.core.attempt_observer import GatewayAttemptObserver
+from sagetrack.core.endpoints import Endpoint
 from sagetrack.core.recent_requests import RecentRequests
+from sagetrack.core.responses import Response
+from sagetrack.discovery import endpoint_parsing
 from sagetrack.http1.attempt import Attempt
 from sagetrack.http1.attempt_runner import AttemptRunner
 from sagetrack.http1.downstream import ClientConnection
-from sagetrack.http1.upstream_server import UpstreamServer
+from sagetrack.policy.events import Outcome, ServerStatus
 from sagetrack.server.process import main
 
 VARIABLE = "PLANTED_FAULT"
 LEAK_BYTES = 256 * 1024
 ATTEMPT_DELAY_S = 0.6
+LOST_EVERY = 3  # one of so many responses is lost
+GROUPED_PATH = b"/reserve/"  # of a class whose repeats must stay in one group
 DELAYED_EVERY = 3  # one of so many attempts is delayed, so that the clients remain busy
 
 leaked: list[bytes] = []
@@ -60,12 +68,48 @@
 
 
 def ignore_withdrawals() -> None:
-    """Send requests to servers that are draining, and to the former server at an address."""
-    UpstreamServer.mark_withdrawn = lambda self: None  # type: ignore[method-assign]
+    """Send requests to servers that are draining."""
+    endpoint_parsing.STATUSES["DRAINING"] = ServerStatus.READY
+
+
+def keep_former_groups() -> None:
+    """Take a new server at a known address for the former one there, and so for one of its group.
+
+    Some responses to requests of a class with groups are lost, so that these requests are sent again.
+    """
+    groups: dict[Address, int] = {}
+    numbers = itertools.count(1)
+    parse = endpoint_parsing.parse_endpoint
+    end = AttemptRunner.end
+
+    def parse_as_former(raw: dict[str, Any], names: NameIndices) -> Endpoint:
+        endpoint = parse(raw, names)
+        group = groups.setdefault(endpoint.address, endpoint.listed.group)
+        endpoint.listed = replace(endpoint.listed, group=group)
+        return endpoint
+
+    def end_some_as_reset(
+        self: AttemptRunner, attempt: Attempt, outcome: Outcome, response: Response | None = None
+    ) -> None:
+        is_grouped = GROUPED_PATH in attempt.payload(0)
+        if is_grouped and outcome is Outcome.OK and next(numbers) % LOST_EVERY == 0:
+            end(self, attempt, Outcome.RESET)
+        else:
+            end(self, attempt, outcome, response)
+
+    endpoint_parsing.parse_endpoint = parse_as_former
+    AttemptRunner.end = end_some_as_reset  # type: ignore[method-assign]
 
 
 FAULTS: dict[str, Callable[[], None]] = {
-    fault.__name__: fault for fault in (forget_ids, leak_memory, ignore_disconnects, ignore_withdrawals)
+    fault.__name__: fault
+    for fault in (
+        forget_ids,
+        leak_memory,
+        ignore_disconnects,
+        ignore_withdrawals,
+        keep_former_groups,
+    )
 }
 
 if __name__ == "__main__":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,9 +22,16 @@
     ResponseReceived,
     read_events,
 )
-from sagetrack.lab.soak.fault_schedule import FaultKind, generate_schedule
+from sagetrack.lab.soak.fault_schedule import WEIGHTS, FaultKind, generate_schedule
 from sagetrack.lab.soak.fleet import SoakSize
-from sagetrack.lab.soak.history import GatewaySpan, GatewayTime, History, Restart, Withdrawal
+from sagetrack.lab.soak.history import (
+    GatewaySpan,
+    GatewayTime,
+    History,
+    Replacement,
+    Restart,
+    Withdrawal,
+)
 from sagetrack.lab.soak.oracle import find_violations
 from sagetrack.lab.soak.run import run_soak
 from sagetrack.lab.soak.shim import FaultControl, SystemCallFaults, build_library
@@ -32,6 +39,7 @@
 
 SECOND_US = 1_000_000
 SERVER_GROUPS = {0: 0, 1: 1, 2: 0}
+SEED_WITH_EARLY_REPLACEMENT = 594  # one of two servers of a group is replaced in the second second
 
 
 def sent(at_us: int = 0, class_name: str = "transfer", budget_ms: int = 1_000, **flags: bool) -> RequestSent:
@@ -227,18 +235,37 @@
 
 
 @pytest.mark.parametrize(
-    ("fault", "rule"),
-    [("forget_ids", "duplicate"), ("leak_memory", "memory"), ("ignore_disconnects", "after_close")],
+    ("fault", "rule", "kinds"),
+    [
+        ("forget_ids", "duplicate", tuple(WEIGHTS)),
+        ("leak_memory", "memory", tuple(WEIGHTS)),
+        ("ignore_disconnects", "after_close", tuple(WEIGHTS)),
+        ("ignore_withdrawals", "drain", (FaultKind.DRAIN,)),
+    ],
 )
 def test_the_soak_finds_a_planted_fault(
-    fault: str, rule: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    fault: str,
+    rule: str,
+    kinds: tuple[FaultKind, ...],
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setenv(VARIABLE, fault)
-    size = SoakSize(1, 4, 1, seconds=8.0, gateway_module="tests.planted_fault")
+    size = SoakSize(1, 4, 1, seconds=8.0, gateway_module="tests.planted_fault", kinds=kinds)
     report = run_soak(4, size, tmp_path)
     assert rule in {violation.rule.value for violation in report.violations}
 
 
+def test_the_soak_finds_a_server_that_is_taken_for_the_former_one_at_its_address(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(VARIABLE, "keep_former_groups")
+    kinds = (FaultKind.CRASH, FaultKind.DISCOVERY_RESET, FaultKind.RESET)
+    size = SoakSize(1, 6, 2, seconds=12.0, gateway_module="tests.planted_fault", kinds=kinds)
+    report = run_soak(SEED_WITH_EARLY_REPLACEMENT, size, tmp_path)
+    assert "duplicate" in {violation.rule.value for violation in report.violations}
+
+
 def test_an_id_that_comes_again_must_be_processed_once() -> None:
     def events(class_name: str, server: int) -> list[AnyEvent]:
         return [
@@ -254,6 +281,21 @@
     assert not violated_rules(events("transfer", 1), history)
 
 
+def test_a_server_that_replaces_another_belongs_to_its_own_group() -> None:
+    events: list[AnyEvent] = [
+        sent(class_name="reserve", budget_ms=9_000),
+        AttemptReceived(4 * SECOND_US, "c", 0, 0),
+        AttemptReceived(5 * SECOND_US, "c", 0, 2),
+        ResponseReceived(5 * SECOND_US, "c", 200, True),
+    ]
+    assert not violated_rules(events)
+    history = History(server_groups=SERVER_GROUPS, replacements=[Replacement(2, SECOND_US, 2)])
+    assert violated_rules(events, history) == {"duplicate"}
+    # The gateway learns of the replacement only when discovery is reachable again.
+    history.discovery_unreachable = [GatewaySpan(0, 0, 3 * SECOND_US)]
+    assert not violated_rules(events, history)
+
+
 def test_memory_above_the_limit_is_a_violation() -> None:
     history = History(server_groups=SERVER_GROUPS, memory_excess={0: 97.0})
     assert violated_rules(VALID_EVENTS, history) == {"memory"}
