Stalled requests give way when descriptors are short, and the wait to be accepted counts

Cause: a streamed request counts as busy, so no reclaim touched it, and each held two descriptors for up to 9.8 s. The time of a request counted from its reading, not from its arrival in the accept queue.

Change: before anything else is closed, the request whose client has sent nothing for the longest time (at least 1 s, not paused by this process) gets 503. The arrival of a connection's first data, and of the first after a pause, is asked of the kernel (TCP_INFO). While memory is exhausted, progress of slow readers is what the peer has taken.

--- a/sagetrack/http1/body_arrival.py
+++ b/sagetrack/http1/body_arrival.py
@@ -7,26 +7,20 @@
 
 from __future__ import annotations
 
-import fcntl
-import socket
-import struct
-import termios
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Iterable
 from enum import Enum
 from typing import Protocol
 
 from sagetrack.core.bodies import StreamedBody
 from sagetrack.core.clock import now_us
+from sagetrack.http1.socket_state import peek, receive_buffer_bytes, unread_bytes
 
 ARRIVAL_CHECK_S = 0.1  # interval of checks of the connections on which reading is paused
-COUNT = struct.Struct("i")
 # What a client can write although this machine does not take it: the largest send buffer of Linux by default.
 CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 # Share of the receive buffer from which its free part may be too small for the client's next segment.
 FULL_SHARE = 0.25
 LAST_CHUNK = b"\r\n0\r\n\r\n"  # the end of a chunked body without trailers
-MAX_PEEK_BYTES = 256 * 1024
 
 
 class BodyReader(Protocol):
@@ -106,29 +100,10 @@
     return not connection.reader.unparsed and unread_bytes(connection.descriptor) == 0
 
 
-def unread_bytes(descriptor: int) -> int:
-    """Return how many bytes wait in the kernel's receive buffer; 0 if that cannot be read."""
-    try:
-        return int(COUNT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(COUNT.size)))[0])
-    except OSError:
-        return 0
-
-
-@contextmanager
-def _borrowed_socket(descriptor: int) -> Iterator[socket.socket]:
-    """Return a socket object for a descriptor that stays open and belongs to the event loop."""
-    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptor)
-    try:
-        yield borrowed
-    finally:
-        borrowed.detach()
-
-
 def _is_full(descriptor: int, unread: int) -> bool:
     """Return whether so much is unread that the client may have to wait before it can send more."""
-    with suppress(OSError), _borrowed_socket(descriptor) as connection:
-        return unread >= connection.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) * FULL_SHARE
-    return False
+    size = receive_buffer_bytes(descriptor)
+    return size > 0 and unread >= size * FULL_SHARE
 
 
 def _ends_with_last_chunk(connection: PausedConnection, body: StreamedBody, unread: int) -> bool:
@@ -137,13 +112,4 @@
         return False
     body.unread_at_check = unread
     end = connection.reader.unparsed[-len(LAST_CHUNK) :]
-    return (end + _peek(connection.descriptor, unread)).endswith(LAST_CHUNK)
-
-
-def _peek(descriptor: int, size: int) -> bytes:
-    """Return the `size` bytes of the receive buffer and leave them there; empty if they are too many."""
-    if not 0 < size <= MAX_PEEK_BYTES:
-        return b""
-    with suppress(OSError), _borrowed_socket(descriptor) as borrowed:
-        return borrowed.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    return b""
+    return (end + peek(connection.descriptor, unread)).endswith(LAST_CHUNK)
--- a/sagetrack/http1/descriptors.py
+++ b/sagetrack/http1/descriptors.py
@@ -45,12 +45,24 @@
         phases: ConnectionPhases,
         count_clients: Callable[[], int],
         count_processes: Callable[[], int],
+        end_stalled_request: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Create a budget.
+
+        Args:
+            config: The configuration.
+            pools: The connections to upstream servers.
+            phases: The client connections by phase.
+            count_clients: Returns the number of client connections.
+            count_processes: Returns the number of processes that share the configured limit.
+            end_stalled_request: Ends a request whose client has stopped sending; False if there is none.
+        """
         self.config = config
         self.pools = pools
         self.phases = phases
         self.count_clients = count_clients
         self.count_processes = count_processes
+        self.end_stalled_request = end_stalled_request
         self.process_limit = descriptor_limit(config.sockets)
 
     @property
@@ -81,7 +93,11 @@
         """Ensure that one more client can be accepted, if necessary by closing another; False if not."""
         if self.has_capacity() or self.phases.reclaim(CloseReason.RECLAIM_DESCRIPTOR, RECLAIM_IDLE_S):
             return True
-        return not self.is_full or self.phases.reclaim(CloseReason.DESCRIPTORS_EXHAUSTED)
+        return not self.is_full or self._reclaim_busy()
+
+    def _reclaim_busy(self) -> bool:
+        """End a stalled request, or else close a connection whose first request is not complete."""
+        return self.end_stalled_request() or self.phases.reclaim(CloseReason.DESCRIPTORS_EXHAUSTED)
 
     def reclaim_for_upstream(self) -> None:
         """Free a descriptor for an upstream connection if none is left; idle clients are closed first.
@@ -92,7 +108,7 @@
         if self.is_full and not (
             self.phases.reclaim(CloseReason.RECLAIM_DESCRIPTOR) or self.pools.reclaim_idle()
         ):
-            self.phases.reclaim(CloseReason.DESCRIPTORS_EXHAUSTED)
+            self._reclaim_busy()
 
     def shrink_to_limit(self) -> None:
         """Close idle connections if the limit has dropped, as another process of this gateway has started.
@@ -105,5 +121,5 @@
             return
         for _ in range(over - self.phases.count_closing()):
             reclaimed = self.phases.reclaim(CloseReason.RECLAIM_DESCRIPTOR) or self.pools.reclaim_idle()
-            if not (reclaimed or self.phases.reclaim(CloseReason.DESCRIPTORS_EXHAUSTED)):
+            if not (reclaimed or self._reclaim_busy()):
                 return
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -20,6 +20,7 @@
 from sagetrack.http1.request_memory import CLIENT_CONNECTION_BYTES
 from sagetrack.http1.request_reader import RequestReader
 from sagetrack.http1.requests import HttpRequest, RequestError
+from sagetrack.http1.socket_state import last_arrival_us
 from sagetrack.http1.write_progress import WriteProgress
 
 MIN_BODY_RATE = 64_000  # minimum average rate of a request body, in bytes per second
@@ -71,6 +72,7 @@
     """One client connection, whose requests are handled in order, one at a time."""
 
     __slots__ = (
+        "arrival_unknown",
         "context",
         "descriptor",
         "discarded_body",
@@ -99,6 +101,7 @@
         self.read_pause = ReadPause(self.phase)
         self.opened_s = 0.0  # time at which the connection was accepted, in event loop time
         self.moved_s = 0.0  # time at which the client last sent or took data, in event loop time
+        self.arrival_unknown = True  # the next data may have waited for long before it can be read
         self.is_closing = False  # the connection is being closed and no more requests are parsed
         self.write_blocked = False  # the write buffer is full because the client reads too slowly
         self.descriptor = -1
@@ -240,15 +243,22 @@
         if self.is_closing:
             return  # after a malformed request, the start of the next one is unknown
         self.moved_s = asyncio.get_running_loop().time()
-        self.parse(bytes(self.context.buffer[:size]))
+        arrived_us = last_arrival_us(self.descriptor) if self.arrival_unknown else 0
+        self.arrival_unknown = False
+        self.parse(bytes(self.context.buffer[:size]), arrived_us)
         self.handle_next()
         self.update_phase()
         self.read_ahead.update_memory()
 
-    def parse(self, data: bytes) -> None:
-        """Parse `data` after data still unparsed; reading pauses while any data stays unparsed."""
+    def parse(self, data: bytes, arrived_us: int = 0) -> None:
+        """Parse `data` after data still unparsed; reading pauses while any data stays unparsed.
+
+        Args:
+            data: The data that was read.
+            arrived_us: Time at which it had arrived at this machine; 0 means now.
+        """
         assert self.transport is not None
-        self.reader.feed(data, self.read_ahead.limit)
+        self.reader.feed(data, self.read_ahead.limit, arrived_us)
         self.handle_read_error()
         if self.is_closing:
             return
@@ -257,6 +267,7 @@
                 self.context.watch_paused(self)
         elif self.read_pause.end(self.transport):
             self.context.unwatch(self)
+            self.arrival_unknown = True
         self.send_continue()
 
     def resume_parsing(self) -> None:
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -40,10 +40,15 @@
         self.siblings: SiblingProcesses = NoSiblings()
         self.exchange_context = ExchangeContext(config, gateway, lambda: self.is_ready)
         self.context = ClientContext(self.exchange_context, self.drain, pools.memory_budget)
+        self.overload = OverloadManager(self.context)
         self.descriptors = DescriptorBudget(
-            config, pools, self.context.phases, self.count_clients, lambda: 1 + self.siblings.sibling_count
+            config,
+            pools,
+            self.context.phases,
+            self.count_clients,
+            lambda: 1 + self.siblings.sibling_count,
+            self.overload.end_stalled_request,
         )
-        self.overload = OverloadManager(self.context)
         self.memory_budget.sources += [
             lambda: gateway.in_flight.memory_bytes,
             lambda: gateway.recent_requests.memory_bytes,
--- a/sagetrack/http1/overload.py
+++ b/sagetrack/http1/overload.py
@@ -5,16 +5,27 @@
 import asyncio
 import gc
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from sagetrack.core.memory_budget import OverloadAction
 from sagetrack.core.send_rules import CloseReason
 from sagetrack.http1.downstream import ClientConnection, ClientContext
 from sagetrack.http1.request_reader import REJECTION
 from sagetrack.http1.requests import RequestError
+from sagetrack.http1.write_progress import undelivered_bytes
 
 RECLAIM_IDLE_S = 0.3  # idle time after which a client may be closed in favour of a new one
 # A connection that has transferred data within this time counts as moving; sound clients are slow at times.
 STALLED_S = 2.0
+# A client that has sent nothing of its request for this long gets an error when its descriptor is needed.
+STALLED_REQUEST_S = 1.0
+
+
+class Delivery(NamedTuple):
+    """How much of a response has not reached its client, and since when it has been so much."""
+
+    undelivered_bytes: int
+    since_s: float
 
 
 class OverloadManager:
@@ -22,6 +33,20 @@
 
     def __init__(self, context: ClientContext) -> None:
         self._context = context
+        self._deliveries: dict[ClientConnection, Delivery] = {}  # to clients that take data slowly
+
+    def end_stalled_request(self) -> bool:
+        """End the request whose client has sent nothing for the longest time; False if all are moving."""
+        now_s = asyncio.get_running_loop().time()
+        stalled = max(
+            self._context.connections,
+            key=lambda connection: _request_stalled_s(connection, now_s),
+            default=None,
+        )
+        if stalled is None or _request_stalled_s(stalled, now_s) < STALLED_REQUEST_S:
+            return False
+        stalled.abandon_request(RequestError(503, REJECTION))
+        return True
 
     def reclaim_for_client(self) -> bool:
         """Return whether the memory allows one more client; an idle connection is closed if it does not."""
@@ -39,6 +64,8 @@
             gc.collect()  # ended connections are reference cycles, and hold their data until then
         if action >= OverloadAction.RESET_STREAMS:
             self._reset_stalled()
+        else:
+            self._deliveries.clear()
         return action
 
     def _reset_stalled(self) -> None:
@@ -48,21 +75,43 @@
         """
         budget = self._context.memory_budget
         now_s = asyncio.get_running_loop().time()
+        self._update_deliveries(now_s)
         for connection in _by_held_bytes(self._context.connections):
             if budget.action < OverloadAction.RESET_STREAMS:
                 return
-            if connection.read_ahead.held_bytes and _stalled_s(connection, now_s) >= STALLED_S:
+            if connection.read_ahead.held_bytes and self._stalled_s(connection, now_s) >= STALLED_S:
                 _end_stalled(connection)
 
+    def _update_deliveries(self, now_s: float) -> None:
+        """Look at how much the clients that take data slowly have taken since the last sweep."""
+        deliveries: dict[ClientConnection, Delivery] = {}
+        for connection in self._context.connections:
+            if not connection.write_blocked or connection.transport is None:
+                continue
+            undelivered = undelivered_bytes(connection.transport, connection.descriptor)
+            before = self._deliveries.get(connection)
+            has_moved = before is None or undelivered < before.undelivered_bytes
+            since_s = now_s if before is None or has_moved else before.since_s
+            deliveries[connection] = Delivery(undelivered, since_s)
+        self._deliveries = deliveries
+
+    def _stalled_s(self, connection: ClientConnection, now_s: float) -> float:
+        """Return for how long the client has neither sent nor taken data that it should; 0 if it need not."""
+        if connection.write_blocked and connection in self._deliveries:
+            return now_s - self._deliveries[connection].since_s
+        return _request_stalled_s(connection, now_s)
+
 
 def _by_held_bytes(connections: Iterable[ClientConnection]) -> list[ClientConnection]:
     return sorted(connections, key=lambda connection: connection.read_ahead.held_bytes, reverse=True)
 
 
-def _stalled_s(connection: ClientConnection, now_s: float) -> float:
-    """Return for how long the client has neither sent nor taken data that it should; 0 if it need not."""
-    waits_for_client = connection.write_blocked or connection.reader.has_partial_request
-    return now_s - connection.moved_s if waits_for_client and not connection.is_closing else 0.0
+def _request_stalled_s(connection: ClientConnection, now_s: float) -> float:
+    """Return for how long the client has sent nothing of an incomplete request; 0 if it need not."""
+    awaits_client = connection.reader.has_partial_request and not connection.read_pause.is_active
+    if not awaits_client or connection.is_closing or connection.write_blocked:
+        return 0.0
+    return now_s - connection.moved_s
 
 
 def _end_stalled(connection: ClientConnection) -> None:
--- a/sagetrack/http1/request_reader.py
+++ b/sagetrack/http1/request_reader.py
@@ -56,7 +56,7 @@
         self.in_body = False
         self.expects_continue = False  # the client waits for `100 Continue` before it sends the body
         self._unreported = 0  # bytes parsed since the parser last reported a complete head or a body part
-        self._fed_us = 0  # time at which the last data was received, parsed or not
+        self._fed_us = 0  # time at which the last data arrived, parsed or not
         self.requests: deque[HttpRequest] = deque()  # requests that were parsed and are not handled yet
         self.unparsed = b""  # not parsed yet, as enough requests are waiting or a streamed body is full
         self.has_failed = False  # a request was invalid, and no more data is parsed
@@ -93,14 +93,19 @@
             return min(READ_SIZE, streamed_body.capacity_bytes)
         return READ_SIZE if self._budget.allows_read_ahead else MIN_STREAM_BUFFER
 
-    def feed(self, data: bytes, limit: int) -> None:
+    def feed(self, data: bytes, limit: int, arrived_us: int = 0) -> None:
         """Parse data until `limit` requests are waiting.
 
+        Args:
+            data: The data, which may be empty if some is still unparsed.
+            limit: The number of requests that may wait.
+            arrived_us: Time at which the data had arrived at this machine; 0 means now.
+
         The limit prevents hundreds of pipelined requests from delaying other clients. Invalid data results in
         a request with an `error`, after which nothing more is parsed.
         """
         if data:
-            self._fed_us = now_us()
+            self._fed_us = arrived_us or now_us()
         self.unparsed = self.unparsed + data if self.unparsed else data
         if not self.unparsed or len(self.requests) >= limit:
             return
--- /dev/null
+++ b/tests/test_waiting_clients.py
@@ -0,0 +1,65 @@
+"""Clients that wait to be accepted: for how long they wait, and the time that is left to them."""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic
+
+from sagetrack.lab.stand_ins.slow_clients import Habit, SlowClients
+from tests.sockets import configuration, on_event_loop, request, running_gateway, scripted_server
+
+BUDGET_MS = 2_000
+WAIT_S = 0.7
+BUDGET_SLACK_MS = 150
+FEW_SOCKETS = 128
+HALF_BODY_CLIENTS = 80  # each needs a descriptor for itself and one for its server
+MAX_WAIT_S = 2.5
+
+
+# Guards against a server that is told the time that its client has waited to be accepted, soak seed 5031.
+@on_event_loop
+async def test_the_time_in_the_accept_queue_counts() -> None:
+    async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
+        acceptor = run.listener.acceptor
+        assert acceptor.listener is not None
+        asyncio.get_running_loop().remove_reader(acceptor.listener.fileno())
+        client = await run.connect()
+        client.send(request("transfer", b"x", budget_ms=BUDGET_MS))
+        await asyncio.sleep(WAIT_S)
+        acceptor._resume()
+        assert (await client.read_response()).status == 200
+        told_ms = int(upstream.exchanges[0].message.headers["x-budget-ms"])
+        assert told_ms <= BUDGET_MS - WAIT_S * 1000 + BUDGET_SLACK_MS
+        client.close()
+
+
+@on_event_loop
+async def test_a_request_whose_time_has_passed_in_the_accept_queue_is_not_sent() -> None:
+    async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
+        acceptor = run.listener.acceptor
+        assert acceptor.listener is not None
+        asyncio.get_running_loop().remove_reader(acceptor.listener.fileno())
+        client = await run.connect()
+        client.send(request("transfer", b"x", budget_ms=int(WAIT_S * 500)))
+        await asyncio.sleep(WAIT_S)
+        acceptor._resume()
+        assert (await client.read_response()).status in (503, 504) and not upstream.exchanges
+        client.close()
+
+
+# Guards against clients that wait for seconds while others that have stopped hold all descriptors.
+@on_event_loop
+async def test_stalled_requests_give_way_to_new_clients_when_descriptors_are_short() -> None:
+    async with scripted_server() as first, scripted_server() as second:
+        config = configuration(first, second) | {"limits": {"sockets": FEW_SOCKETS, "memory_mb": 192}}
+        async with running_gateway(config) as run:
+            stalled = SlowClients(("127.0.0.1", run.port))
+            stalled.start(Habit.HALF_BODY, HALF_BODY_CLIENTS)
+            await asyncio.sleep(0.5)
+            assert run.listener.descriptors.is_full
+            since_s = monotonic()
+            for _ in range(5):
+                response = await run.request(request(budget_ms=5_000))
+                assert response.status == 200
+            assert monotonic() - since_s < MAX_WAIT_S
+            await stalled.stop()
