Tests: the memory of a process that has ended is 0

One run of test_a_process_that_replaces_a_killed_one... ended in its 30 s timeout: the watch had stopped with an IndexError, as /proc/PID/status of a process that was killed and not yet waited for has no VmRSS. statm reads 0 there.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -40,6 +40,7 @@
 MIN_SOUND_SHARE = 0.9  # of sound requests that are served
 LONG_RESPONSE = bytes(8_000_000)
 BUDGET_MS = 3_000
+BYTES_PER_MB = 1024 * 1024
 OPEN_FILES = 4096  # for the clients and servers of the test process
 
 
@@ -51,8 +52,9 @@
 
 
 def resident_mb(pid: int) -> float:
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.partition("VmRSS:")[2].split()[0]) / 1024
+    """Return the resident memory of a process; 0 if it has ended and was not waited for."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / BYTES_PER_MB
 
 
 @pytest.fixture
--- a/tests/test_memory_of_restarts.py
+++ b/tests/test_memory_of_restarts.py
@@ -19,6 +19,7 @@
 from tests.test_gateway_process import ROOT, fetch_status, free_port
 from tests.test_memory_limits import (
     BUDGET_MS,
+    BYTES_PER_MB,
     MIN_SOUND_SHARE,
     SAMPLE_S,
     SOCKETS,
@@ -36,7 +37,6 @@
 LONGEST_DEADLINE_S = 3.0  # after SIGTERM the platform waits for it, and 0.7 s more
 KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7
 LISTEN_BACKLOG = 1024
-BYTES_PER_MB = 1024 * 1024
 
 
 @dataclass
