Return free memory to the system, and stream bodies before they are rejected

Memory rose from crowd to crowd.

Cause: above 0.65 of the budget every longer body was rejected, whatever it costs.

Change: from 0.5 bodies over 8 KiB are streamed, which costs 8 KiB; they are rejected from 0.75. An ended connection drops its data at once. If more than 0.15 of the budget is resident but not counted, garbage is collected and the allocator trimmed, once a second at most.

--- a/sagetrack/core/memory_budget.py
+++ b/sagetrack/core/memory_budget.py
@@ -13,11 +13,14 @@
 from enum import IntEnum
 
 from sagetrack.core.log import log
+from sagetrack.core.memory_return import MemoryReturn
 from sagetrack.core.metrics import LabeledCounter
 
 BYTES_PER_MB = 1024 * 1024
 # Share of the limit that is kept for what no claim covers: free memory between objects, and short-lived data.
 RESERVE_SHARE = 0.1
+# Share of the budget that may be resident without being counted before free memory is returned to the system.
+UNCOUNTED_SHARE = 0.15
 MIN_BUDGET_BYTES = 2 * BYTES_PER_MB  # budget of a process whose limit leaves less; it may then be exceeded
 STREAM_SHARE = 0.5  # share of the budget for the buffers of all streamed bodies
 MAX_STREAM_BUFFER = 64 * 1024  # bytes buffered per streamed body before its sender is paused
@@ -33,19 +36,21 @@
 
     NONE = 0
     STOP_READ_AHEAD = 1  # pipelined requests are left in the socket
-    SHRINK_BUFFERS = 2  # streamed bodies get the smallest buffers
-    CLOSE_IDLE = 3  # idle connections are closed
-    REJECT_BODIES = 4  # requests with a long head or body are rejected
-    REJECT_CONNECTIONS = 5  # connections wait to be accepted
-    RESET_STREAMS = 6  # the connections that hold most and move least are reset
+    STREAM_BODIES = 2  # bodies that exceed the smallest buffer are streamed instead of buffered
+    SHRINK_BUFFERS = 3  # streamed bodies get the smallest buffers
+    CLOSE_IDLE = 4  # idle connections are closed
+    REJECT_BODIES = 5  # requests with a long head or body are rejected
+    REJECT_CONNECTIONS = 6  # connections wait to be accepted
+    RESET_STREAMS = 7  # the connections that hold most and move least are reset
 
 
 # Share of the budget in use from which each action is taken.
 THRESHOLDS = {
     OverloadAction.STOP_READ_AHEAD: 0.25,
+    OverloadAction.STREAM_BODIES: 0.5,
     OverloadAction.SHRINK_BUFFERS: 0.55,
     OverloadAction.CLOSE_IDLE: 0.6,
-    OverloadAction.REJECT_BODIES: 0.65,
+    OverloadAction.REJECT_BODIES: 0.75,
     OverloadAction.REJECT_CONNECTIONS: 0.9,
     OverloadAction.RESET_STREAMS: 0.96,
 }
@@ -74,6 +79,7 @@
 
     __slots__ = (
         "_logged_action",
+        "_memory_return",
         "_sweeps_since_log",
         "actions",
         "active_bodies",
@@ -99,6 +105,7 @@
         self.actions = LabeledCounter(
             "memory_actions_total", "action", (action.name.lower() for action in THRESHOLDS)
         )
+        self._memory_return = MemoryReturn(resident_bytes)
         self._logged_action = OverloadAction.NONE
         self._sweeps_since_log = 0
 
@@ -147,6 +154,10 @@
             return length > 0 and self.action >= OverloadAction.RESET_STREAMS
         return self.action >= OverloadAction.REJECT_BODIES
 
+    def streams(self, length: int) -> bool:
+        """Return whether a body of this length is streamed at present although it could be buffered."""
+        return length > MIN_STREAM_BUFFER and self.action >= OverloadAction.STREAM_BODIES
+
     @property
     def stream_buffer_bytes(self) -> int:
         """Number of bytes that each streamed body may buffer at present."""
@@ -155,9 +166,20 @@
         share = int(self.total_bytes * STREAM_SHARE) // max(1, self.active_bodies)
         return max(MIN_STREAM_BUFFER, min(MAX_STREAM_BUFFER, share))
 
-    def sweep(self) -> OverloadAction:
-        """Measure the memory of the process, log a change of the overload action, and return the action."""
+    @property
+    def uncounted_bytes(self) -> int:
+        """What the process holds beyond its memory at rest and what is counted, at the last sweep."""
+        return max(0, self.resident_bytes - self.rest_bytes - self.used_bytes)
+
+    def sweep(self, now_s: float) -> OverloadAction:
+        """Measure the memory of the process, log a change of the overload action, and return the action.
+
+        Free memory is returned to the system if much is held that is not counted.
+        """
         self.resident_bytes = resident_bytes()
+        if self.rest_bytes and self.uncounted_bytes > UNCOUNTED_SHARE * self.total_bytes:
+            self._memory_return.return_free(now_s)
+            self.resident_bytes = resident_bytes()
         action = self.action
         self._sweeps_since_log += 1
         if action > self._logged_action:
@@ -182,7 +204,8 @@
             "memory_budget_bytes": self.total_bytes,
             "memory_resident_bytes": self.resident_bytes,
             "memory_rest_bytes": self.rest_bytes,
-            "memory_uncounted_bytes": max(0, self.resident_bytes - self.rest_bytes - used),
+            "memory_uncounted_bytes": self.uncounted_bytes,
+            "memory_returned_bytes_total": self._memory_return.returned_bytes,
             "memory_action": int(self.action),
             "request_memory_bytes": used,
             "request_memory_rejected_total": self.rejected,
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -128,6 +128,8 @@
         self.phase.enter(None)
         self.is_closing = True
         self.cancel_requests()
+        self.reader.release()
+        self.discarded_body = None
         self.read_ahead.release_memory()
 
     def eof_received(self) -> None:
--- a/sagetrack/http1/overload.py
+++ b/sagetrack/http1/overload.py
@@ -59,7 +59,7 @@
     def sweep(self) -> OverloadAction:
         """Carry out the overload action of the present moment, and return it."""
         budget = self._context.memory_budget
-        action = budget.sweep()
+        action = budget.sweep(asyncio.get_running_loop().time())
         if action >= OverloadAction.SHRINK_BUFFERS:
             gc.collect()  # ended connections are reference cycles, and hold their data until then
         if action >= OverloadAction.RESET_STREAMS:
--- a/sagetrack/http1/request_reader.py
+++ b/sagetrack/http1/request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import Any
 
 import httptools
 
@@ -48,7 +49,7 @@
     )
 
     def __init__(self, budget: MemoryBudget) -> None:
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)  # None once the connection has ended
         self._budget = budget
         self.current_request: HttpRequest | None = None
         self._body_size = 0
@@ -124,6 +125,15 @@
                 self.fail(error)
         self.unparsed = b"" if self.has_failed else bytes(view[at:])
 
+    def release(self) -> None:
+        """Drop all data of a connection that has ended, and the parser, which refers to this object."""
+        self.requests.clear()
+        self.current_request = None
+        self.unparsed = b""
+        self.in_body = False
+        self.has_failed = True
+        self._parser = None
+
     def fail(self, error: RequestError) -> None:
         """Record an error, to which the response follows those of earlier requests, and stop parsing."""
         self.has_failed = True
@@ -227,10 +237,11 @@
         if length > STREAMED_BODY_LIMIT:
             raise RequestError(413, "the body is too long")
         self.in_body = True
-        if length > BODY_LIMIT:
-            self._stream_body(request, length)
+        buffered = length if coding is None else BODY_LIMIT
+        if length > BODY_LIMIT or self._budget.streams(buffered):
+            self._stream_body(request, length if coding is None else None)
         else:
-            self._claim_memory(request, length if coding is None else BODY_LIMIT)
+            self._claim_memory(request, buffered)
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body; called by the parser."""
