Reset the slowest readers when no client can be accepted; keep connections

A response before the end of a streamed body closes the connection, and under pressure short bodies are streamed too.

Change: from that threshold on, clients that took less than 64 kB/s over 2 s are reset, the slowest first, until clients can be accepted.

--- a/sagetrack/core/memory_budget.py
+++ b/sagetrack/core/memory_budget.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+from bisect import bisect_right
 from collections.abc import Callable
 from contextlib import suppress
 from enum import IntEnum
@@ -26,6 +27,7 @@
 MAX_STREAM_BUFFER = 64 * 1024  # bytes buffered per streamed body before its sender is paused
 MIN_STREAM_BUFFER = 8 * 1024  # lower bound of that limit when very many bodies are streamed at once
 SMALL_REQUEST_BYTES = 4 * 1024  # a head or body up to this length is accepted while longer ones are rejected
+CHECKS_PER_REFRESH = 16  # checks of the action between two sums of what the components hold
 STATM_FILE = "/proc/self/statm"
 STATM_RESIDENT_FIELD = 1
 LOG_INTERVAL_SWEEPS = 25  # sweeps between two log lines of the same pressure
@@ -54,6 +56,8 @@
     OverloadAction.REJECT_CONNECTIONS: 0.9,
     OverloadAction.RESET_STREAMS: 0.96,
 }
+SHARES = tuple(THRESHOLDS.values())
+ACTIONS = (OverloadAction.NONE, *THRESHOLDS)  # by the number of thresholds that are reached
 
 
 def resident_bytes() -> int:
@@ -78,8 +82,10 @@
     """
 
     __slots__ = (
+        "_checks_until_refresh",
         "_logged_action",
         "_memory_return",
+        "_source_bytes",
         "_sweeps_since_log",
         "actions",
         "active_bodies",
@@ -99,6 +105,8 @@
         self.process_count = 1
         self.claimed_bytes = 0
         self.sources: list[Callable[[], int]] = []
+        self._source_bytes = 0  # the sum of the sources when it was last taken
+        self._checks_until_refresh = 0
         self.active_bodies = 0
         self.rejected = 0
         self.resident_bytes = 0  # at the last sweep
@@ -136,12 +144,16 @@
 
     @property
     def action(self) -> OverloadAction:
-        """The overload action that the memory in use calls for."""
-        share = self.used_bytes / self.total_bytes
-        return max(
-            (action for action, threshold in THRESHOLDS.items() if share >= threshold),
-            default=OverloadAction.NONE,
-        )
+        """The overload action that the memory in use calls for.
+
+        It is asked several times for each request, so the sources are summed up only once in a while.
+        """
+        self._checks_until_refresh -= 1
+        if self._checks_until_refresh < 0:
+            self._checks_until_refresh = CHECKS_PER_REFRESH
+            self._source_bytes = sum(source() for source in self.sources)
+        share = (self.claimed_bytes + self._source_bytes) / self.total_bytes
+        return ACTIONS[bisect_right(SHARES, share)] if share >= SHARES[0] else OverloadAction.NONE
 
     @property
     def allows_read_ahead(self) -> bool:
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+from collections.abc import Callable
 from typing import cast
 
 from sagetrack.core.bodies import StreamedBody
@@ -12,7 +13,7 @@
 from sagetrack.core.peer_close import PeerCloseWatcher, has_peer_closed
 from sagetrack.core.send_rules import ClientConnectionState, CloseReason, DenialReason, may_close
 from sagetrack.http1.client_closes import ABORTED, CLIENT_DISCONNECTED, RESPONDED, ClientCloses
-from sagetrack.http1.codec import READ_SIZE
+from sagetrack.http1.codec import BODY_LIMIT, READ_SIZE
 from sagetrack.http1.connection_phases import ConnectionPhases, PhaseTracker
 from sagetrack.http1.exchange import WRITE_BUFFER_BYTES, Exchange, ExchangeContext
 from sagetrack.http1.read_ahead import ReadAhead
@@ -329,16 +330,27 @@
 
     def is_last(self, message: HttpRequest) -> bool:
         """Return whether the connection is closed after the response to this request."""
-        if message.streamed_body is not None and not message.streamed_body.is_complete:
-            return True  # the response is sent before the body is complete
+        if self._ends_after_body(message):
+            return True
         if not message.keep_alive:
             return True
         has_more = bool(self.reader.requests) or self.reader.has_partial_request
         return self.context.drain.ends_connection(asyncio.get_running_loop().time(), has_more)
 
+    def _ends_after_body(self, message: HttpRequest) -> bool:
+        """Return whether the response precedes the end of a body that is too long to be read to its end."""
+        body = message.streamed_body
+        if body is None or body.is_complete:
+            return False
+        is_long = body.length is None or body.length > BODY_LIMIT
+        return is_long or body.is_aborted or self.reader.expects_continue
+
     def on_response_written(self, message: HttpRequest, is_last: bool) -> None:
         """Continue with the next request, or close the connection after its last response."""
         if not is_last:
+            if message.streamed_body is not None and not message.streamed_body.is_finished:
+                self._discard(message.streamed_body, self._continue_after_body)
+                return
             self.handle_next_soon()
             self.update_phase()
             self.read_ahead.update_memory()
@@ -346,21 +358,27 @@
         self.reader.requests.clear()
         self.read_ahead.update_memory()
         if message.streamed_body is not None and not message.streamed_body.is_finished:
-            self._discard(message.streamed_body)
+            self._discard(message.streamed_body, self.close)
         elif message.error is not None:
             self._linger()
         else:
             self.close()
 
-    def _discard(self, streamed_body: StreamedBody) -> None:
-        """Read and discard the rest of a request body, then close the connection.
+    def _continue_after_body(self) -> None:
+        """Handle the next request, as the body of the previous one was read to its end."""
+        self.discarded_body = None
+        self.handle_next_soon()
+        self.update_phase()
+
+    def _discard(self, streamed_body: StreamedBody, on_complete: Callable[[], None]) -> None:
+        """Read and discard the rest of a request body, then call `on_complete`.
 
         Closing before that could cause a TCP reset that discards the response, as some clients read it only
         after they have sent the whole body.
         """
         self.discarded_body = streamed_body
         streamed_body.discard()
-        streamed_body.on_complete = self.close
+        streamed_body.on_complete = on_complete
         self.phase.enter(self.context.phases.receiving_body)
 
     def pause_writing(self) -> None:
--- a/sagetrack/http1/overload.py
+++ b/sagetrack/http1/overload.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -21,11 +22,16 @@
 STALLED_REQUEST_S = 1.0
 
 
+# A client that takes less of its response is reset when new clients cannot be accepted for lack of memory.
+MIN_READ_BYTES_PER_S = 64_000
+READ_WINDOW_S = 2.0  # time over which that rate is measured
+
+
 class Delivery(NamedTuple):
-    """How much of a response has not reached its client, and since when it has been so much."""
+    """How much of a response had not reached its client at a time since when no more was written."""
 
     undelivered_bytes: int
-    since_s: float
+    at_s: float
 
 
 class OverloadManager:
@@ -33,7 +39,7 @@
 
     def __init__(self, context: ClientContext) -> None:
         self._context = context
-        self._deliveries: dict[ClientConnection, Delivery] = {}  # to clients that take data slowly
+        self._deliveries: dict[ClientConnection, Delivery] = {}  # to clients for which data waits
 
     def end_stalled_request(self) -> bool:
         """End the request whose client has sent nothing for the longest time; False if all are moving."""
@@ -62,44 +68,53 @@
         action = budget.sweep(asyncio.get_running_loop().time())
         if action >= OverloadAction.SHRINK_BUFFERS:
             gc.collect()  # ended connections are reference cycles, and hold their data until then
+        now_s = asyncio.get_running_loop().time()
+        self._update_deliveries(now_s, action)
+        if action >= OverloadAction.REJECT_CONNECTIONS:
+            self._reset_slow_readers(now_s)
         if action >= OverloadAction.RESET_STREAMS:
-            self._reset_stalled()
-        else:
-            self._deliveries.clear()
+            self._end_stalled(now_s)
         return action
 
-    def _reset_stalled(self) -> None:
-        """End the connections that hold most and move least, until the action is no longer called for.
-
-        A connection that has moved within `STALLED_S` is kept.
-        """
-        budget = self._context.memory_budget
-        now_s = asyncio.get_running_loop().time()
-        self._update_deliveries(now_s)
-        for connection in _by_held_bytes(self._context.connections):
-            if budget.action < OverloadAction.RESET_STREAMS:
-                return
-            if connection.read_ahead.held_bytes and self._stalled_s(connection, now_s) >= STALLED_S:
-                _end_stalled(connection)
-
-    def _update_deliveries(self, now_s: float) -> None:
-        """Look at how much the clients that take data slowly have taken since the last sweep."""
+    def _update_deliveries(self, now_s: float, action: OverloadAction) -> None:
+        """Look at how much the clients have taken that read slowly, while that may be needed soon."""
         deliveries: dict[ClientConnection, Delivery] = {}
-        for connection in self._context.connections:
+        for connection in self._context.connections if action >= OverloadAction.REJECT_BODIES else ():
             if not connection.write_blocked or connection.transport is None:
                 continue
             undelivered = undelivered_bytes(connection.transport, connection.descriptor)
             before = self._deliveries.get(connection)
-            has_moved = before is None or undelivered < before.undelivered_bytes
-            since_s = now_s if before is None or has_moved else before.since_s
-            deliveries[connection] = Delivery(undelivered, since_s)
+            if before is None or undelivered > before.undelivered_bytes:
+                before = Delivery(undelivered, now_s)
+            deliveries[connection] = before
         self._deliveries = deliveries
 
-    def _stalled_s(self, connection: ClientConnection, now_s: float) -> float:
-        """Return for how long the client has neither sent nor taken data that it should; 0 if it need not."""
-        if connection.write_blocked and connection in self._deliveries:
-            return now_s - self._deliveries[connection].since_s
-        return _request_stalled_s(connection, now_s)
+    def _reset_slow_readers(self, now_s: float) -> None:
+        """Reset the clients that take their response most slowly, until new clients can be accepted."""
+        budget = self._context.memory_budget
+        rates = {connection: self._read_rate(connection, now_s) for connection in self._deliveries}
+        for connection in sorted(rates, key=rates.__getitem__):
+            if budget.action < OverloadAction.REJECT_CONNECTIONS or rates[connection] >= MIN_READ_BYTES_PER_S:
+                return
+            connection.abort(CloseReason.RECLAIM_MEMORY.value)
+
+    def _read_rate(self, connection: ClientConnection, now_s: float) -> float:
+        """Return how many bytes per second a client takes; infinite if that is not known yet."""
+        assert connection.transport is not None
+        before, since_s = self._deliveries[connection]
+        if now_s - since_s < READ_WINDOW_S:
+            return math.inf
+        taken = before - undelivered_bytes(connection.transport, connection.descriptor)
+        return taken / (now_s - since_s)
+
+    def _end_stalled(self, now_s: float) -> None:
+        """End the requests that hold most of those whose client has stopped sending."""
+        budget = self._context.memory_budget
+        for connection in _by_held_bytes(self._context.connections):
+            if budget.action < OverloadAction.RESET_STREAMS:
+                return
+            if connection.read_ahead.held_bytes and _request_stalled_s(connection, now_s) >= STALLED_S:
+                connection.abandon_request(RequestError(503, REJECTION))
 
 
 def _by_held_bytes(connections: Iterable[ClientConnection]) -> list[ClientConnection]:
@@ -112,11 +127,3 @@
     if not awaits_client or connection.is_closing or connection.write_blocked:
         return 0.0
     return now_s - connection.moved_s
-
-
-def _end_stalled(connection: ClientConnection) -> None:
-    """Reset a client that takes no data; respond with an error to one that does not send its request."""
-    if connection.write_blocked:
-        connection.abort(CloseReason.RECLAIM_MEMORY.value)
-    else:
-        connection.abandon_request(RequestError(503, REJECTION))
