Move the discarding of a body out of the client connection

BodyDiscard drops the rest of a body and then closes or continues; whether 100 Continue may be sent became a function. No change of behaviour.

--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -12,8 +12,9 @@
 from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.peer_close import PeerCloseWatcher, has_peer_closed
 from sagetrack.core.send_rules import ClientConnectionState, CloseReason, DenialReason, may_close
+from sagetrack.http1.body_discard import BodyDiscard, ends_connection
 from sagetrack.http1.client_closes import ABORTED, CLIENT_DISCONNECTED, RESPONDED, ClientCloses
-from sagetrack.http1.codec import BODY_LIMIT, READ_SIZE
+from sagetrack.http1.codec import READ_SIZE
 from sagetrack.http1.connection_phases import ConnectionPhases, PhaseTracker
 from sagetrack.http1.exchange import WRITE_BUFFER_BYTES, Exchange, ExchangeContext
 from sagetrack.http1.read_ahead import ReadAhead
@@ -76,7 +77,7 @@
         "arrival_unknown",
         "context",
         "descriptor",
-        "discarded_body",
+        "discard",
         "exchange",
         "is_closing",
         "moved_s",
@@ -97,7 +98,7 @@
         self.reader = RequestReader(context.memory_budget)
         self.exchange = Exchange(self, context.exchange_context)
         self.read_ahead = ReadAhead(context.memory_budget, self.reader, self.exchange)
-        self.discarded_body: StreamedBody | None = None  # read to its end after the response has been sent
+        self.discard = BodyDiscard()  # of a body that is read to its end after the response
         self.phase = PhaseTracker(self, context.phases)
         self.read_pause = ReadPause(self.phase)
         self.opened_s = 0.0  # time at which the connection was accepted, in event loop time
@@ -130,7 +131,7 @@
         self.is_closing = True
         self.cancel_requests()
         self.reader.release()
-        self.discarded_body = None
+        self.discard.release()
         self.read_ahead.release_memory()
 
     def eof_received(self) -> None:
@@ -254,12 +255,7 @@
         self.read_ahead.update_memory()
 
     def parse(self, data: bytes, arrived_us: int = 0) -> None:
-        """Parse `data` after data still unparsed; reading pauses while any data stays unparsed.
-
-        Args:
-            data: The data that was read.
-            arrived_us: Time at which it had arrived at this machine; 0 means now.
-        """
+        """Parse `data`, which arrived at this time (0: now); reading pauses while any stays unparsed."""
         assert self.transport is not None
         self.reader.feed(data, self.read_ahead.limit, arrived_us)
         self.handle_read_error()
@@ -289,19 +285,13 @@
 
     def send_continue(self) -> None:
         """Send `100 Continue` if the client waits for it and no earlier request is in progress or queued."""
-        reader = self.reader
-        if not reader.expects_continue or self.is_closing or self.discarded_body is not None:
-            return
-        ahead = (self.exchange.message, *reader.requests)
-        if any(message is not None and message is not reader.current_request for message in ahead):
-            return
-        if self.transport is not None:
-            reader.expects_continue = False
+        if self.transport is not None and _may_continue(self):
+            self.reader.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def handle_read_error(self) -> None:
         """Respond if the body of the request in progress cannot be read completely."""
-        if self.discarded_body is not None and self.reader.has_failed:
+        if self.discard.is_active and self.reader.has_failed:
             self.close()
         self.exchange.fail_body()
 
@@ -315,7 +305,7 @@
             self.on_hangup()
         if not self.reader.requests and self.reader.unparsed:
             self.parse(b"")
-        if not self.reader.requests or self.is_closing or self.discarded_body is not None:
+        if not self.reader.requests or self.is_closing or self.discard.is_active:
             return
         self.exchange.start(self.reader.requests.popleft())
         self.send_continue()
@@ -330,21 +320,13 @@
 
     def is_last(self, message: HttpRequest) -> bool:
         """Return whether the connection is closed after the response to this request."""
-        if self._ends_after_body(message):
+        if ends_connection(message.streamed_body, self.reader.expects_continue):
             return True
         if not message.keep_alive:
             return True
         has_more = bool(self.reader.requests) or self.reader.has_partial_request
         return self.context.drain.ends_connection(asyncio.get_running_loop().time(), has_more)
 
-    def _ends_after_body(self, message: HttpRequest) -> bool:
-        """Return whether the response precedes the end of a body that is too long to be read to its end."""
-        body = message.streamed_body
-        if body is None or body.is_complete:
-            return False
-        is_long = body.length is None or body.length > BODY_LIMIT
-        return is_long or body.is_aborted or self.reader.expects_continue
-
     def on_response_written(self, message: HttpRequest, is_last: bool) -> None:
         """Continue with the next request, or close the connection after its last response."""
         if not is_last:
@@ -364,23 +346,15 @@
         else:
             self.close()
 
+    def _discard(self, streamed_body: StreamedBody, on_complete: Callable[[], None]) -> None:
+        self.discard.begin(streamed_body, on_complete)
+        self.phase.enter(self.context.phases.receiving_body)
+
     def _continue_after_body(self) -> None:
         """Handle the next request, as the body of the previous one was read to its end."""
-        self.discarded_body = None
         self.handle_next_soon()
         self.update_phase()
 
-    def _discard(self, streamed_body: StreamedBody, on_complete: Callable[[], None]) -> None:
-        """Read and discard the rest of a request body, then call `on_complete`.
-
-        Closing before that could cause a TCP reset that discards the response, as some clients read it only
-        after they have sent the whole body.
-        """
-        self.discarded_body = streamed_body
-        streamed_body.discard()
-        streamed_body.on_complete = on_complete
-        self.phase.enter(self.context.phases.receiving_body)
-
     def pause_writing(self) -> None:
         """Pause the response because the write buffer is full; called by the event loop."""
         self.write_blocked = True
@@ -398,6 +372,15 @@
         self.handle_next_soon()
 
 
+def _may_continue(connection: ClientConnection) -> bool:
+    """Return whether the client waits for `100 Continue` and no earlier request is in progress or queued."""
+    reader = connection.reader
+    if not reader.expects_continue or connection.is_closing or connection.discard.is_active:
+        return False
+    ahead = (connection.exchange.message, *reader.requests)
+    return all(message is None or message is reader.current_request for message in ahead)
+
+
 def _state_of(connection: ClientConnection) -> ClientConnectionState:
     """Return the properties of a connection that determine whether it may be closed now."""
     reader = connection.reader
