Ask the kernel for the arrival of data only where the data may have waited

Change: the acceptor remembers since when connections may have waited (accepting was paused, or the process has just started); a connection that was accepted at once is not asked. An arrival is never taken for earlier than that, nor earlier than the pause of reading after which the data came. The tests now make descriptors run short, as it happens, in place of a removed reader.

--- a/sagetrack/http1/acceptor.py
+++ b/sagetrack/http1/acceptor.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from sagetrack.core.clock import now_us
 from sagetrack.core.log import log
 from sagetrack.core.metrics import LabeledCounter
 
@@ -28,11 +29,15 @@
         self,
         reclaim: Callable[[], bool],
         reclaim_idle: Callable[[], object],
-        connection_factory: Callable[[], asyncio.BaseProtocol],
+        connection_factory: Callable[[int | None], asyncio.BaseProtocol],
     ) -> None:
         self.reclaim = reclaim  # ensures that a descriptor is available; False if none is
         self.reclaim_idle = reclaim_idle  # closes an idle client connection
-        self.connection_factory = connection_factory  # creates the protocol of an accepted connection
+        # Creates the protocol of an accepted connection, given `waiting_since_us`.
+        self.connection_factory = connection_factory
+        # Time since which connections may have waited to be accepted, 0 if it is before the start of this
+        # process; None if none was waiting at the last look.
+        self.waiting_since_us: int | None = 0
         self.listener: socket.socket | None = None
         self.pending: set[asyncio.Task[object]] = set()  # accepted connections that are being set up
         self.consecutive_exhausted = 0  # failures of accept with `EXHAUSTION_ERRNOS` in a row
@@ -60,13 +65,14 @@
             try:
                 accepted, _ = self.listener.accept()
             except BlockingIOError:
+                self.waiting_since_us = None
                 return True
             except OSError as error:
                 if self._handle_error(error):
                     continue
                 return False
             self.consecutive_exhausted = 0
-            task: asyncio.Task[object] = loop.create_task(self._connect(accepted))
+            task: asyncio.Task[object] = loop.create_task(self._connect(accepted, self.waiting_since_us))
             self.pending.add(task)
             task.add_done_callback(self.pending.discard)
         return False
@@ -80,6 +86,8 @@
 
     def _pause(self) -> None:
         assert self.listener is not None
+        if self.waiting_since_us is None:
+            self.waiting_since_us = now_us()
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.listener.fileno())
         loop.call_later(ACCEPT_RETRY_S, self._resume)
@@ -107,10 +115,12 @@
         self._pause()
         return False
 
-    async def _connect(self, accepted: socket.socket) -> None:
+    async def _connect(self, accepted: socket.socket, waiting_since_us: int | None) -> None:
         with suppress(OSError):  # optional: without TCP_NODELAY, responses are slightly delayed
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self.connection_factory, accepted)
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: self.connection_factory(waiting_since_us), accepted
+            )
         except OSError:
             accepted.close()  # the client has already closed the connection
--- a/sagetrack/http1/downstream.py
+++ b/sagetrack/http1/downstream.py
@@ -8,6 +8,7 @@
 from typing import cast
 
 from sagetrack.core.bodies import StreamedBody
+from sagetrack.core.clock import now_us
 from sagetrack.core.drain import Drain
 from sagetrack.core.memory_budget import MemoryBudget
 from sagetrack.core.peer_close import PeerCloseWatcher, has_peer_closed
@@ -74,7 +75,6 @@
     """One client connection, whose requests are handled in order, one at a time."""
 
     __slots__ = (
-        "arrival_unknown",
         "context",
         "descriptor",
         "discard",
@@ -88,12 +88,15 @@
         "read_pause",
         "reader",
         "transport",
+        "waiting_since_us",
         "write_blocked",
         "write_progress",
     )
 
-    def __init__(self, context: ClientContext) -> None:
+    def __init__(self, context: ClientContext, waiting_since_us: int | None = None) -> None:
+        """Create a connection whose first data may have waited since this time; None if it has not waited."""
         self.context = context
+        self.waiting_since_us = waiting_since_us  # the same for the next data
         self.transport: asyncio.Transport | None = None
         self.reader = RequestReader(context.memory_budget)
         self.exchange = Exchange(self, context.exchange_context)
@@ -103,7 +106,6 @@
         self.read_pause = ReadPause(self.phase)
         self.opened_s = 0.0  # time at which the connection was accepted, in event loop time
         self.moved_s = 0.0  # time at which the client last sent or took data, in event loop time
-        self.arrival_unknown = True  # the next data may have waited for long before it can be read
         self.is_closing = False  # the connection is being closed and no more requests are parsed
         self.write_blocked = False  # the write buffer is full because the client reads too slowly
         self.descriptor = -1
@@ -199,7 +201,7 @@
 
     def close(self, reason: str = RESPONDED) -> None:
         """Close when the client has taken all written data, or has stopped reading."""
-        self._record_close(reason)
+        _record_close(self, reason)
         self.is_closing = True
         if self.transport is None:
             return
@@ -211,18 +213,12 @@
 
     def abort(self, reason: str = ABORTED) -> None:
         """Close at once; data that is still in the write buffer is lost."""
-        self._record_close(reason)
+        _record_close(self, reason)
         self.is_closing = True
         self.phase.enter(None)
         if self.transport is not None:
             self.transport.abort()
 
-    def _record_close(self, reason: str) -> None:
-        """Count the close with its reason, unless the connection is already being closed."""
-        if self.transport is not None and not self.transport.is_closing():
-            awaits_response = self.exchange.awaits_response and not self.write_blocked
-            self.context.closes.record(reason, self.exchange.request, awaits_response, self.has_disconnected)
-
     def _linger(self) -> None:
         """Close `LINGER_S` after an error response, so that the client can read it.
 
@@ -247,8 +243,8 @@
         if self.is_closing:
             return  # after a malformed request, the start of the next one is unknown
         self.moved_s = asyncio.get_running_loop().time()
-        arrived_us = last_arrival_us(self.descriptor) if self.arrival_unknown else 0
-        self.arrival_unknown = False
+        arrived_us = last_arrival_us(self.descriptor, self.waiting_since_us)
+        self.waiting_since_us = None
         self.parse(bytes(self.context.buffer[:size]), arrived_us)
         self.handle_next()
         self.update_phase()
@@ -263,10 +259,10 @@
             return
         if self.reader.has_failed or self.reader.unparsed:
             if self.read_pause.begin(self.transport):
+                self.waiting_since_us = now_us()
                 self.context.watch_paused(self)
         elif self.read_pause.end(self.transport):
             self.context.unwatch(self)
-            self.arrival_unknown = True
         self.send_continue()
 
     def resume_parsing(self) -> None:
@@ -372,6 +368,15 @@
         self.handle_next_soon()
 
 
+def _record_close(connection: ClientConnection, reason: str) -> None:
+    """Count a close with its reason, unless the connection is already being closed."""
+    if connection.transport is None or connection.transport.is_closing():
+        return
+    exchange = connection.exchange
+    awaits_response = exchange.awaits_response and not connection.write_blocked
+    connection.context.closes.record(reason, exchange.request, awaits_response, connection.has_disconnected)
+
+
 def _may_continue(connection: ClientConnection) -> bool:
     """Return whether the client waits for `100 Continue` and no earlier request is in progress or queued."""
     reader = connection.reader
--- a/sagetrack/http1/listener.py
+++ b/sagetrack/http1/listener.py
@@ -57,7 +57,7 @@
         self.acceptor = Acceptor(
             lambda: self.overload.reclaim_for_client() and self.descriptors.reclaim_for_client(),
             lambda: self.context.phases.reclaim(CloseReason.RECLAIM_DESCRIPTOR),
-            lambda: ClientConnection(self.context),
+            lambda waiting_since_us: ClientConnection(self.context, waiting_since_us),
         )
         self.describe_peers: Callable[[], list[str]] = lambda: ["messages between gateways are off"]
         self.sweep_timer: asyncio.TimerHandle | None = None
--- a/sagetrack/http1/socket_state.py
+++ b/sagetrack/http1/socket_state.py
@@ -42,15 +42,25 @@
     return b""
 
 
-def last_arrival_us(descriptor: int) -> int:
-    """Return when data last arrived, on the clock of `now_us`; the current time if that is unknown."""
+def last_arrival_us(descriptor: int, since_us: int | None) -> int:
+    """Return when the data that was just read last arrived, on the clock of `now_us`.
+
+    Args:
+        descriptor: The descriptor of the connection.
+        since_us: The earliest time at which it can have arrived; None if it was read at once.
+
+    Returns:
+        The time, or the current time if it is unknown.
+    """
+    if since_us is None:
+        return now_us()
     age_ms = 0
     with suppress(OSError, struct.error), _borrowed_socket(descriptor) as connection:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
         (age_ms,) = LAST_DATA_RECEIVED.unpack(info)
     if age_ms > MAX_DATA_AGE_MS:
         age_ms = 0
-    return now_us() - age_ms * 1_000
+    return max(since_us, now_us() - age_ms * 1_000)
 
 
 @contextmanager
--- a/tests/test_waiting_clients.py
+++ b/tests/test_waiting_clients.py
@@ -21,12 +21,11 @@
 async def test_the_time_in_the_accept_queue_counts() -> None:
     async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
         acceptor = run.listener.acceptor
-        assert acceptor.listener is not None
-        asyncio.get_running_loop().remove_reader(acceptor.listener.fileno())
+        reclaim, acceptor.reclaim = acceptor.reclaim, lambda: False  # no descriptor is left
         client = await run.connect()
         client.send(request("transfer", b"x", budget_ms=BUDGET_MS))
         await asyncio.sleep(WAIT_S)
-        acceptor._resume()
+        acceptor.reclaim = reclaim
         assert (await client.read_response()).status == 200
         told_ms = int(upstream.exchanges[0].message.headers["x-budget-ms"])
         assert told_ms <= BUDGET_MS - WAIT_S * 1000 + BUDGET_SLACK_MS
@@ -37,12 +36,11 @@
 async def test_a_request_whose_time_has_passed_in_the_accept_queue_is_not_sent() -> None:
     async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
         acceptor = run.listener.acceptor
-        assert acceptor.listener is not None
-        asyncio.get_running_loop().remove_reader(acceptor.listener.fileno())
+        reclaim, acceptor.reclaim = acceptor.reclaim, lambda: False  # no descriptor is left
         client = await run.connect()
         client.send(request("transfer", b"x", budget_ms=int(WAIT_S * 500)))
         await asyncio.sleep(WAIT_S)
-        acceptor._resume()
+        acceptor.reclaim = reclaim
         assert (await client.read_response()).status in (503, 504) and not upstream.exchanges
         client.close()
 
