--- a/sagetrack/http1/overload.py
+++ b/sagetrack/http1/overload.py
@@ -20,11 +20,10 @@
 STALLED_S = 2.0
 # A client that has sent nothing of its request for this long gets an error when its descriptor is needed.
 STALLED_REQUEST_S = 1.0
-
-
 # A client that takes less of its response is reset when new clients cannot be accepted for lack of memory.
 MIN_READ_BYTES_PER_S = 64_000
 READ_WINDOW_S = 2.0  # time over which that rate is measured
+MAX_RESETS_PER_SWEEP = 16  # their memory counts as in use until the event loop has closed them
 
 
 class Delivery(NamedTuple):
@@ -90,13 +89,11 @@
         self._deliveries = deliveries
 
     def _reset_slow_readers(self, now_s: float) -> None:
-        """Reset the clients that take their response most slowly, until new clients can be accepted."""
-        budget = self._context.memory_budget
+        """Reset some of the clients that take their response most slowly."""
         rates = {connection: self._read_rate(connection, now_s) for connection in self._deliveries}
-        for connection in sorted(rates, key=rates.__getitem__):
-            if budget.action < OverloadAction.REJECT_CONNECTIONS or rates[connection] >= MIN_READ_BYTES_PER_S:
-                return
-            connection.abort(CloseReason.RECLAIM_MEMORY.value)
+        for connection in sorted(rates, key=rates.__getitem__)[:MAX_RESETS_PER_SWEEP]:
+            if rates[connection] < MIN_READ_BYTES_PER_S:
+                connection.abort(CloseReason.RECLAIM_MEMORY.value)
 
     def _read_rate(self, connection: ClientConnection, now_s: float) -> float:
         """Return how many bytes per second a client takes; infinite if that is not known yet."""
