Look for waiting connections at the start: later ones have not waited

Until its first look at the accept queue a process took every connection for one that may have waited since before its start, and asked the kernel for the age of its data. Now the first look comes with the start. The allocator's trim also bears a system that refuses the memory for ctypes.

test_a_client_that_is_accepted_at_once_has_not_waited would wait in vain without the change.

--- a/sagetrack/core/memory_return.py
+++ b/sagetrack/core/memory_return.py
@@ -14,7 +14,7 @@
 def trim_allocator() -> None:
     """Have the C library return all free pages; does nothing if it has no function for that."""
     # ctypes needs half a megabyte itself, and is only loaded if there is more to return.
-    with suppress(ImportError, OSError, AttributeError):
+    with suppress(ImportError, OSError, AttributeError, MemoryError):
         import ctypes
 
         ctypes.CDLL(None).malloc_trim(0)
--- a/sagetrack/http1/acceptor.py
+++ b/sagetrack/http1/acceptor.py
@@ -44,9 +44,11 @@
         self.errors = LabeledCounter("accept_errors_total", "error", ())
 
     def start(self, listener: socket.socket) -> None:
-        """Start to accept connections on this listening socket."""
+        """Start to accept connections on this listening socket, beginning with those that wait already."""
         self.listener = listener
-        asyncio.get_running_loop().add_reader(self.listener.fileno(), self.accept)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self.listener.fileno(), self.accept)
+        loop.call_soon(self.accept)
 
     def accept(self, limit: int = ACCEPTS_PER_TURN) -> bool:
         """Accept at most `limit` waiting connections; return whether none is left waiting.
--- a/tests/test_waiting_clients.py
+++ b/tests/test_waiting_clients.py
@@ -6,7 +6,14 @@
 from time import monotonic
 
 from sagetrack.lab.stand_ins.slow_clients import Habit, SlowClients
-from tests.sockets import configuration, on_event_loop, request, running_gateway, scripted_server
+from tests.sockets import (
+    configuration,
+    on_event_loop,
+    request,
+    running_gateway,
+    scripted_server,
+    wait_until,
+)
 
 BUDGET_MS = 2_000
 WAIT_S = 0.7
@@ -61,3 +68,16 @@
                 assert response.status == 200
             assert monotonic() - since_s < MAX_WAIT_S
             await stalled.stop()
+
+
+@on_event_loop
+async def test_a_client_that_is_accepted_at_once_has_not_waited() -> None:
+    async with scripted_server() as upstream, running_gateway(configuration(upstream)) as run:
+        acceptor = run.listener.acceptor
+        await wait_until(lambda: acceptor.waiting_since_us is None)  # none waited at the start
+        reclaim, acceptor.reclaim = acceptor.reclaim, lambda: False
+        client = await run.connect()
+        await wait_until(lambda: acceptor.waiting_since_us is not None)
+        acceptor.reclaim = reclaim
+        await wait_until(lambda: acceptor.waiting_since_us is None)
+        client.close()
