Show a gateway over its memory limit by halves of gRPC requests

Cause: what a gRPC client's stream holds before its request is submitted counts against no memory budget.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -282,6 +282,7 @@
         operator: str = "",
         changes: dict | None = None,
         sockets: int = 1024,
+        memory: int = 192,
         limit: Callable[[], None] | None = None,
         number: int = 0,
     ) -> None:
@@ -298,7 +299,7 @@
             "discovery": discovery.address,
             "admin": self.admin,
             "seed": f"8c1f30d27a5be96{number}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory, "sockets": sockets},
             "known": discovery.full_list(),
             "settings": settings(**(changes or {})),
         }
