--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import shutil
@@ -25,6 +26,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+PR_SET_PDEATHSIG = 1  # of prctl
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START = time.monotonic()
 
@@ -267,6 +269,13 @@
     return True
 
 
+def prepare(limit: Callable[[], None] | None) -> None:
+    """Have the kernel end a new process with the one that started it, and apply a limit of the platform."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if limit is not None:
+        limit()
+
+
 class Gateway:
     """A gateway process, started with the `run` command of the deploy file."""
 
@@ -329,7 +338,7 @@
                 stdout=log,
                 stderr=log,
                 pass_fds=[listener.fileno()] if listener is not None else [],
-                preexec_fn=limit,
+                preexec_fn=lambda: prepare(limit),
             )
         record(f"gateway {name} started, process {self.process.pid}, clients at {self.listen}")
 
