--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -287,11 +287,9 @@
         temporary: Path,
         name: str = "g0",
         listen: str = "",
-        listener: socket.socket | None = None,
         operator: str = "",
         changes: dict | None = None,
         sockets: int = 1024,
-        memory: int = 192,
         limit: Callable[[], None] | None = None,
         number: int = 0,
     ) -> None:
@@ -308,7 +306,7 @@
             "discovery": discovery.address,
             "admin": self.admin,
             "seed": f"8c1f30d27a5be96{number}",
-            "limits": {"cores": 1.0, "memory_mb": memory, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "known": discovery.full_list(),
             "settings": settings(**(changes or {})),
         }
@@ -325,8 +323,6 @@
         if operator:
             (own / "operator.toml").write_text(operator)
             environment["LB_OPERATOR"] = str(own / "operator.toml")
-        if listener is not None:
-            environment["LB_ACCEPT_FD"] = str(listener.fileno())
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.log = own / "log.txt"
         with self.log.open("wb") as log:
@@ -337,7 +333,6 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                pass_fds=[listener.fileno()] if listener is not None else [],
                 preexec_fn=lambda: prepare(limit),
             )
         record(f"gateway {name} started, process {self.process.pid}, clients at {self.listen}")
@@ -393,9 +388,7 @@
     return int(lines[0].split(" ")[1]), headers
 
 
-def request(
-    kind: str, id_: str, budget_ms: int = 3000, key: str = "", body: bytes = b"", close: bool = False
-) -> bytes:
+def request(kind: str, id_: str, budget_ms: int = 3000, key: str = "", body: bytes = b"") -> bytes:
     """Return a request as the usual clients send it."""
     method = "POST" if key else "GET"
     lines = [
@@ -408,8 +401,6 @@
     ]
     if key:
         lines += [f"Idempotency-Key: {key}", f"Content-Length: {len(body)}"]
-    if close:
-        lines.append("Connection: close")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
