Each review case names the record that it writes

Cause: record.txt was named in the shared stand-ins alone, so that a case's folder did not show that it is written.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -163,4 +163,4 @@
     return breaks
 
 
-run_case(Path(__file__).resolve().parent, case)
+run_case(Path(__file__).resolve().with_name("record.txt"), case)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -41,10 +41,10 @@
 
 
 class Record:
-    """The file record.txt: what was sent, answered and run."""
+    """The record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder: Path) -> None:
-        self.file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        self.file = path.open("w")
 
     def __call__(self, text: str) -> None:
         """Write a line."""
@@ -467,10 +467,13 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[Record, Path], Awaitable[list[str]]], limit_s: float = 110.0
+    record_file: Path, case: Callable[[Record, Path], Awaitable[list[str]]], limit_s: float = 110.0
 ) -> None:
-    """Run a case, which returns the breaks of the rule that it saw, and exit with its result."""
-    record = Record(folder)
+    """Run a case, which returns the breaks of the rule that it saw, and exit with its result.
+
+    What was sent, answered and run is written to `record_file`.
+    """
+    record = Record(record_file)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     record(f"TROUBLE={int(TROUBLE)}")
 
